Read the ledger and the platform's topics by one reader.

Cause: the follower and the feeds of the operator's and the workers' topics were two copies of one loop (rebuild, read on, short reads while away).

Change: `control/readers.py` holds the loop; the follower and the adapter's feeds say what they do with a chunk, a loss and a return.

Ruled out: a third thread of reads per topic, as the calls of all three share one client.

No behaviour is meant to change.

--- a/chervilcove/control/follower.py
+++ b/chervilcove/control/follower.py
@@ -7,9 +7,9 @@
 from gevent import event
 
 from chervilcove.control import ports
+from chervilcove.control import readers
 from chervilcove.core import errors
 from chervilcove.core import metrics as metric_values
-from chervilcove.core import tasks
 from chervilcove.jobs import records
 from chervilcove.jobs import table
 
@@ -23,11 +23,16 @@
 # many records; callers see a state that is older by as much, 3 s are allowed.
 BYSTANDER_PAUSE_S = 0.2
 WATCH_STEP_S = 0.01  # between looks of a caller that waits for a change
-RETRY_S = 0.15  # pause after a failed read; 7 reads a second while it is away
+TIMES = readers.Times(
+    wait_s=READ_WAIT_S,
+    answer_s=READ_TIMEOUT_S,
+    probe_s=PROBE_TIMEOUT_S,
+    newest_s=READ_TIMEOUT_S,
+)
 OWNED_KINDS = (records.Kind.UNIT, records.Kind.END)
 
 
-class Follower(tasks.Task):
+class Follower(readers.Reader):
     """Read the ledger and apply its records.
 
     Args:
@@ -36,16 +41,10 @@
     """
 
     def __init__(self, *, ledger: ports.Ledger, metrics: metric_values.Metrics):
-        super().__init__(name="follower")
-        self._ledger = ledger
+        super().__init__(name="follower", topic=ledger, times=TIMES)
         self._metrics = metrics
         self.table = table.JobTable()
-        self.next_offset = 0
-        self.is_loaded = False
-        # Monotonic seconds.
-        self.last_read = 0.0
-        self.reachable_since: float | None = None
-        self.last_owner_sign = 0.0
+        self.last_owner_sign = 0.0  # monotonic seconds
         # Epoch of this entry's own decisions: their records were applied
         # when they were written.
         self.own_epoch: int | None = None
@@ -65,7 +64,7 @@
     def sync(self, *, timeout_s: float) -> bool:
         """Wait until everything in the ledger by now is applied."""
         deadline = time.monotonic() + timeout_s
-        chunk = self._ledger.read(
+        chunk = self._topic.read(
             self.next_offset, wait_s=0.0, timeout_s=timeout_s
         )
         if errors.is_refusal(chunk):
@@ -92,41 +91,14 @@
             self._watchers -= 1
         return is_met()
 
-    def run(self) -> None:
-        """Follow the ledger until stopped."""
-        while not self.is_stopping:
-            if not self.is_loaded:
-                self._load()
-                continue
-            # While the ledger is away, reads are short: one that is
-            # swallowed would hide its return for as long as it waits.
-            is_away = self.reachable_since is None
-            chunk = self._ledger.read(
-                self.next_offset,
-                wait_s=0.0 if is_away else READ_WAIT_S,
-                timeout_s=PROBE_TIMEOUT_S if is_away else READ_TIMEOUT_S,
-            )
-            if errors.is_refusal(chunk):
-                self._note_failure(chunk)
-                continue
-            self._note_success()
-            self._apply(chunk)
-            if self.own_epoch is None and not self.table.is_owner_gone():
-                self._pause()
-
     def _pause(self) -> None:
         """Let records gather, unless a caller waits for them."""
         if not self._watchers:
             self._watched.clear()
             self._watched.wait(timeout=BYSTANDER_PAUSE_S)
 
-    def _load(self) -> None:
+    def load(self, chunk: ports.Chunk) -> None:
         """Build the table anew from the newest record of each key."""
-        chunk = self._ledger.read_newest(timeout_s=READ_TIMEOUT_S)
-        if errors.is_refusal(chunk):
-            self._note_failure(chunk)
-            return
-        self._note_success()
         self.table = table.JobTable()
         self.own_epoch = None
         self._apply(chunk)
@@ -141,6 +113,31 @@
         )
         self._tell()
 
+    def take(self, chunk: ports.Chunk) -> None:
+        """Apply what was appended."""
+        self._apply(chunk)
+        if self.own_epoch is None and not self.table.is_owner_gone():
+            self._pause()
+
+    def note_regained(self) -> None:
+        """Log that the ledger answers again."""
+        self.log.info("ledger_regained", offset=self.next_offset)
+
+    def note_lost(self, refusal: errors.Refusal) -> None:
+        """Log that the ledger does not answer."""
+        self.log.warn(
+            "ledger_lost", kind=refusal.kind.value, reason=refusal.reason
+        )
+
+    def note_failed(self, refusal: errors.Refusal) -> None:
+        """Count a failed read, and tell the listeners."""
+        self._metrics.count(f"ledger.read_failed.{refusal.kind.value}")
+        self._tell()
+
+    def note_lapsed(self) -> None:
+        """Log that the records to read next have lapsed."""
+        self.log.warn("ledger_lapsed", offset=self.next_offset)
+
     def _apply(self, chunk: ports.Chunk) -> None:
         for one in chunk.records:
             record = records.decode(one.key, one.value)
@@ -169,27 +166,6 @@
             self._advanced.wait(timeout=left_s)
         return True
 
-    def _note_success(self) -> None:
-        now = time.monotonic()
-        if self.reachable_since is None:
-            self.reachable_since = now
-            self.log.info("ledger_regained", offset=self.next_offset)
-        self.last_read = now
-
-    def _note_failure(self, refusal: errors.Refusal) -> None:
-        if refusal.kind is errors.Kind.GONE:
-            self.log.warn("ledger_lapsed", offset=self.next_offset)
-            self.is_loaded = False
-            return
-        if self.reachable_since is not None:
-            self.reachable_since = None
-            self.log.warn(
-                "ledger_lost", kind=refusal.kind.value, reason=refusal.reason
-            )
-        self._metrics.count(f"ledger.read_failed.{refusal.kind.value}")
-        self._tell()
-        gevent.sleep(RETRY_S)
-
     def _tell(self) -> None:
         for listener in self._listeners:
             listener()
--- a/chervilcove/platform/notices.py
+++ b/chervilcove/platform/notices.py
@@ -7,7 +7,6 @@
 
 from chervilcove.control import ports
 from chervilcove.core import errors
-from chervilcove.core import logs
 from chervilcove.jobs import configuration
 from chervilcove.jobs import specs
 from chervilcove.platform import store
@@ -155,7 +154,7 @@
     return ""
 
 
-class Notices(ports.Feed):
+class Notices(store.TopicFeed):
     """Follow what the operator writes.
 
     Args:
@@ -166,30 +165,17 @@
     def __init__(
         self, *, topic: store.KeyedTopic, on_change: Callable[[], None]
     ):
-        self._log = logs.Log(source="notices")
+        super().__init__(topic=topic, name="notices", wait_s=NOTICE_WAIT_S)
         self._on_change = on_change
         self._operations = ports.Operations(None, frozenset())
-        self._feed = store.TopicFeed(
-            topic=topic,
-            name="notices",
-            wait_s=NOTICE_WAIT_S,
-            on_change=self._take,
-        )
 
     def get(self) -> ports.Operations:
         """Return what the operator asks for."""
         return self._operations
 
-    def start(self) -> None:
-        """Start to read."""
-        self._feed.start()
-
-    def stop(self) -> None:
-        """Stop to read."""
-        self._feed.stop()
-
-    def _take(self, changed: set[str] | None) -> None:
-        values = self._feed.values
+    def take_change(self, changed: set[str] | None) -> None:
+        """Take over a new configuration, and the evacuations."""
+        values = self.values
         evacuated = frozenset(
             key.removeprefix(EVACUATE)
             for key in values
@@ -199,7 +185,7 @@
         if CONFIG in values and (changed is None or CONFIG in changed):
             config = self._take_config(values[CONFIG], config)
         if evacuated != self._operations.evacuated:
-            self._log.info("evacuations_read", zones=",".join(evacuated))
+            self.log.info("evacuations_read", zones=",".join(evacuated))
         self._operations = ports.Operations(config, evacuated)
         self._on_change()
 
@@ -208,12 +194,12 @@
     ) -> configuration.Configuration | None:
         config = read_config(value)
         if errors.is_refusal(config):
-            self._log.error("config_ignored", reason=config.reason)
+            self.log.error("config_ignored", reason=config.reason)
             return before
         # A read may lag; what was acted on once stays in force.
         if before is not None and config.version <= before.version:
             return before
-        self._log.info(
+        self.log.info(
             "config_in_force",
             version=config.version,
             queues=len(config.queues),
@@ -222,7 +208,7 @@
         return config
 
 
-class MinionFeed(ports.Feed):
+class MinionFeed(store.TopicFeed):
     """Follow the minions' entries.
 
     Args:
@@ -236,26 +222,13 @@
         topic: store.KeyedTopic,
         on_change: Callable[[dict[str, ports.WorkerReport]], None],
     ):
-        self._log = logs.Log(source="minions")
+        super().__init__(topic=topic, name="minions", wait_s=MINION_WAIT_S)
         self._on_change = on_change
         self._reports: dict[str, ports.WorkerReport] = {}
-        self._feed = store.TopicFeed(
-            topic=topic,
-            name="minions",
-            wait_s=MINION_WAIT_S,
-            on_change=self._take,
-        )
-
-    def start(self) -> None:
-        """Start to read."""
-        self._feed.start()
-
-    def stop(self) -> None:
-        """Stop to read."""
-        self._feed.stop()
 
-    def _take(self, changed: set[str] | None) -> None:
-        values = self._feed.values
+    def take_change(self, changed: set[str] | None) -> None:
+        """Read the entries that changed, and tell of what is news."""
+        values = self.values
         if changed is None:
             self._reports = {}
             changed = set(values)
@@ -266,7 +239,7 @@
             if key in values:
                 report = read_minion(key, values[key])
                 if errors.is_refusal(report):
-                    self._log.warn(
+                    self.log.warn(
                         "entry_ignored", worker=key, reason=report.reason
                     )
                     report = None
--- a/chervilcove/platform/store.py
+++ b/chervilcove/platform/store.py
@@ -1,18 +1,17 @@
 """The platform's store: topics that keep the newest record of each key."""
 
+import abc
 import base64
-from collections.abc import Callable
 from typing import Any
 from typing import NamedTuple
 from urllib import parse
 
-import gevent
 import msgspec
 
 from chervilcove.control import ports
+from chervilcove.control import readers
 from chervilcove.core import errors
 from chervilcove.core import http
-from chervilcove.core import logs
 
 CONNECTIONS = 6  # long reads of three topics, and appends beside them
 CONNECT_TIMEOUT_S = 0.6  # a store that refuses silently never connects
@@ -248,80 +247,65 @@
     return errors.refuse(errors.Kind.LOG_UNAVAILABLE, f"status {reply.status}")
 
 
-class TopicFeed(ports.Feed):
-    """Keep the newest values of a topic, and tell each change.
+class TopicFeed(readers.Reader, ports.Feed):
+    """Keep the newest values of a topic.
 
     Args:
         topic: The topic.
         name: Name in logs.
         wait_s: Longest wait of a read.
-        on_change: Takes the keys that changed, None for all of them.
     """
 
-    RETRY_S = 0.15  # 7 reads a second while the store is away
     ANSWER_S = 0.8  # beyond the wait
-
-    def __init__(
-        self,
-        *,
-        topic: KeyedTopic,
-        name: str,
-        wait_s: float,
-        on_change: Callable[[set[str] | None], None],
-    ):
+    NEWEST_S = 2.0
+
+    def __init__(self, *, topic: KeyedTopic, name: str, wait_s: float):
+        super().__init__(
+            name=name,
+            topic=topic,
+            times=readers.Times(
+                wait_s=wait_s,
+                answer_s=wait_s + self.ANSWER_S,
+                probe_s=self.ANSWER_S,
+                newest_s=self.NEWEST_S,
+            ),
+        )
         self.values: dict[str, bytes] = {}
-        self._topic = topic
-        self._wait_s = wait_s
-        self._on_change = on_change
-        self._log = logs.Log(source=name)
-        self._is_reachable = False
-        self._greenlet: gevent.Greenlet | None = None
-
-    def start(self) -> None:
-        """Start to read."""
-        self._greenlet = gevent.spawn(self._run)
-
-    def stop(self) -> None:
-        """Stop to read."""
-        if self._greenlet is not None:
-            self._greenlet.kill(block=False)
-
-    def _run(self) -> None:
-        offset: int | None = None
-        while True:
-            if offset is None:
-                chunk = self._topic.read_newest(timeout_s=2.0)
-            else:
-                # Short while it is away: see `follower.Follower.run`.
-                wait_s = self._wait_s if self._is_reachable else 0.0
-                chunk = self._topic.read(
-                    offset, wait_s=wait_s, timeout_s=wait_s + self.ANSWER_S
-                )
-            if errors.is_refusal(chunk):
-                if chunk.kind is errors.Kind.GONE:
-                    offset = None
-                    continue
-                self._note(False, chunk.reason)
-                gevent.sleep(self.RETRY_S)
-                continue
-            self._note(True, "")
-            changed: set[str] | None = None
-            if offset is None:
-                self.values = {}
+
+    def stop(self, *, timeout_s: float = 0.0) -> None:
+        """Stop to read at once."""
+        del timeout_s
+        self.kill()
+
+    @abc.abstractmethod
+    def take_change(self, changed: set[str] | None) -> None:
+        """Take the keys that changed, None for all of them."""
+
+    def load(self, chunk: ports.Chunk) -> None:
+        """Begin anew with the newest records."""
+        self.values = {}
+        self._apply(chunk)
+        self.is_loaded = True
+        self.take_change(None)
+
+    def take(self, chunk: ports.Chunk) -> None:
+        """Take what was appended."""
+        self._apply(chunk)
+        if chunk.records:
+            self.take_change({record.key for record in chunk.records})
+
+    def note_regained(self) -> None:
+        """Log that the topic is read again."""
+        self.log.info("feed_regained")
+
+    def note_lost(self, refusal: errors.Refusal) -> None:
+        """Log that the topic is not read."""
+        self.log.warn("feed_lost", reason=refusal.reason)
+
+    def _apply(self, chunk: ports.Chunk) -> None:
+        for record in chunk.records:
+            if record.value:
+                self.values[record.key] = record.value
             else:
-                changed = {record.key for record in chunk.records}
-            for record in chunk.records:
-                if record.value:
-                    self.values[record.key] = record.value
-                else:
-                    self.values.pop(record.key, None)
-            offset = chunk.next_offset
-            if changed is None or changed:
-                self._on_change(changed)
-
-    def _note(self, is_reachable: bool, reason: str) -> None:
-        if is_reachable and not self._is_reachable:
-            self._log.info("feed_regained")
-        elif not is_reachable and self._is_reachable:
-            self._log.warn("feed_lost", reason=reason)
-        self._is_reachable = is_reachable
+                self.values.pop(record.key, None)
+        self.next_offset = chunk.next_offset
