--- a/chervilcove/conf/checks.py
+++ b/chervilcove/conf/checks.py
@@ -1,8 +1,10 @@
 """Checks of settings before start, registered by subject."""
 
 from collections.abc import Callable
+from collections.abc import Mapping
 from typing import NamedTuple
 
+from chervilcove.conf import core
 from chervilcove.conf import global_settings
 
 
@@ -43,6 +45,20 @@
     return findings
 
 
+def load_checked(
+    path: str, *, environment: Mapping[str, str]
+) -> tuple[global_settings.Settings | None, list[str]]:
+    """Return checked settings, or None with one line for each error."""
+    loaded = core.load_settings(path=path, environment=environment)
+    lines = [problem.describe() for problem in loaded.problems]
+    if not lines:
+        lines = [
+            f"{finding.id}: {finding.message}. {finding.hint}"
+            for finding in run_checks(loaded.settings)
+        ]
+    return (None, lines) if lines else (loaded.settings, [])
+
+
 @register("entry")
 def check_ports(settings: global_settings.Settings) -> list[Finding]:
     """Check that the two ports of an entry differ."""
--- a/chervilcove/management/commands/check.py
+++ b/chervilcove/management/commands/check.py
@@ -1,8 +1,11 @@
 """Command `check`."""
 
+import os
+
 from cleo import helpers
 from cleo.commands import command
 
+from chervilcove.conf import checks
 from chervilcove.management import utils
 
 
@@ -26,7 +29,7 @@
         """Check every file; return the exit code."""
         code = utils.ExitCode.DONE
         for path in self.argument("files") or [""]:
-            settings, lines = utils.load_checked(path)
+            settings, lines = checks.load_checked(path, environment=os.environ)
             for line in lines:
                 self.line_error(line)
             if settings is None:
--- a/chervilcove/management/commands/entry.py
+++ b/chervilcove/management/commands/entry.py
@@ -1,13 +1,14 @@
 """Command `entry`."""
 
+import os
 import signal
-import sys
 
 from cleo import helpers
 from cleo.commands import command
 import gevent
 from gevent import event
 
+from chervilcove.conf import checks
 from chervilcove.core import logs
 from chervilcove.entry import core as entries
 from chervilcove.management import utils
@@ -32,16 +33,14 @@
 
     def handle(self) -> int:
         """Run the entry; return the exit code."""
-        settings, lines = utils.load_checked(self.option("settings") or "")
+        settings, lines = checks.load_checked(
+            self.option("settings") or "", environment=os.environ
+        )
         for line in lines:
             self.line_error(line)
         if settings is None:
             return utils.ExitCode.USAGE
         if settings["fleet"]["ledger"]:
-            logs.set_up(
-                level=settings["log_level"],
-                stream=logs.BoundedStream(descriptor=sys.stdout.fileno()),
-            )
             platform.run_entry(settings)
             return utils.ExitCode.DONE
         logs.set_up(level=settings["log_level"])
--- a/chervilcove/management/utils.py
+++ b/chervilcove/management/utils.py
@@ -11,9 +11,6 @@
 import json5
 import msgspec
 
-from chervilcove.conf import checks
-from chervilcove.conf import core as conf
-from chervilcove.conf import global_settings
 from chervilcove.core import answers
 from chervilcove.core import errors
 from chervilcove.core import http
@@ -124,17 +121,3 @@
         return json5.loads(text)
     except (OSError, ValueError) as error:
         return errors.refuse(errors.Kind.MALFORMED, f"{path}: {error}")
-
-
-def load_checked(
-    path: str,
-) -> tuple[global_settings.Settings | None, list[str]]:
-    """Return checked settings, or None with one line for each error."""
-    loaded = conf.load_settings(path=path, environment=os.environ)
-    lines = [problem.describe() for problem in loaded.problems]
-    if not lines:
-        lines = [
-            f"{finding.id}: {finding.message}. {finding.hint}"
-            for finding in checks.run_checks(loaded.settings)
-        ]
-    return (None, lines) if lines else (loaded.settings, [])
