Split the round of decisions by subject.

Change: `situation` (what a round reads), `wants` (who waits, in which order) and `patience` (how long a step waits for its place) stand apart; `rounds` decides. `Submission.build_queue`, `table.list_units`, `order.measure_chain_ms` and `_pick_batch` of the writers are the one copy of each. `Estimates.note_jobs` counts, `get_mean_work` reads.

--- a/chervilcove/bench/replay/core.py
+++ b/chervilcove/bench/replay/core.py
@@ -12,9 +12,10 @@
 
 from chervilcove.bench.replay import recording as recordings
 from chervilcove.control import estimates
+from chervilcove.dispatch import order
 from chervilcove.dispatch import rooms as room_values
 from chervilcove.dispatch import rounds
-from chervilcove.jobs import configuration
+from chervilcove.dispatch import situation
 from chervilcove.jobs import records
 from chervilcove.jobs import specs
 from chervilcove.jobs import table
@@ -60,7 +61,6 @@
     number: int
     placed: room_values.Placed
     began_ms: int
-    ran_ms: int
 
 
 class Replay:
@@ -184,25 +184,13 @@
         self._rooms.free(self._runs.pop(key).placed)
         self._stopping.discard(key)
 
-    def _get_queue(self, job: table.Job) -> configuration.Queue:
-        submission = job.submission
-        return configuration.Queue(
-            submission.queue,
-            "",
-            "",
-            SERVICE,
-            priority=submission.priority,
-            stretch=submission.stretch,
-            target_ms=submission.target_ms,
-        )
-
     def _describe(
         self, key: table.UnitKey, run: _Run, now_ms: int
-    ) -> rounds.Running:
+    ) -> situation.Running:
         job = self._table.jobs[key.job]
         step = job.spec.steps[key.step]
         run_s = (now_ms - run.began_ms) / 1000
-        return rounds.Running(
+        return situation.Running(
             placed=run.placed,
             is_urgent=job.submission.priority == 0,
             is_stopping=key in self._stopping,
@@ -212,12 +200,13 @@
         )
 
     def _decide(self, now_ms: int) -> None:
-        mean_work = self._estimates.measure_work(self._table.open.values())
+        jobs = list(self._table.open.values())
+        self._estimates.note_jobs(jobs)
         plan = rounds.decide(
-            rounds.Situation(
+            situation.Situation(
                 now_ms=now_ms,
-                jobs=list(self._table.open.values()),
-                get_queue=self._get_queue,
+                jobs=jobs,
+                get_queue=lambda job: job.submission.build_queue(),
                 customers={},
                 rooms=self._rooms,
                 running={
@@ -225,7 +214,7 @@
                     for key, run in self._runs.items()
                 },
                 factors=self._estimates.factors,
-                mean_work=mean_work,
+                mean_work=self._estimates.get_mean_work(),
                 is_resting=lambda key: False,
                 get_grants=lambda turn: None,
                 urgent=self._estimates.urgent if self._has_headroom else (),
@@ -258,7 +247,7 @@
         if is_far:
             ran_ms = int(ran_ms * FAR_FACTOR)
             self._far += len(start.workers)
-        self._runs[key] = _Run(number, placed, now_ms, ran_ms)
+        self._runs[key] = _Run(number, placed, now_ms)
         self._set_unit(key, number, table.Status.ACTIVE)
         self._began.setdefault(key.job, now_ms)
         self._plan(now_ms + ran_ms, "end", (key, number))
@@ -298,17 +287,11 @@
 
     def _measure_chain(self, arrival: recordings.Arrival) -> float:
         """Return the longest chain of work, with true durations."""
-        ends: list[float] = []
-        for number, step in enumerate(arrival.steps):
-            keys = (
-                [table.UnitKey(arrival.job, 0, number, None)]
-                if step.is_gang
-                else [
-                    table.UnitKey(arrival.job, 0, number, index)
-                    for index in range(step.count)
-                ]
+        lengths_ms = [
+            max(
+                self._find_duration(key, step)
+                for key in table.list_units(arrival.job, 0, number, step)
             )
-            longest = max(self._find_duration(key, step) for key in keys)
-            begin = max((ends[each] for each in step.after), default=0.0)
-            ends.append(begin + longest)
-        return max(ends)
+            for number, step in enumerate(arrival.steps)
+        ]
+        return order.measure_chain_ms(arrival.steps, lengths_ms)
--- a/chervilcove/control/core.py
+++ b/chervilcove/control/core.py
@@ -19,7 +19,7 @@
 from chervilcove.core import logs
 from chervilcove.core import metrics as metric_values
 from chervilcove.core import web
-from chervilcove.dispatch import rounds
+from chervilcove.dispatch import situation
 from chervilcove.jobs import records
 
 # A leaving entry still takes new connections for as long as the balancer
@@ -57,7 +57,7 @@
         ready: web.WebServer,
         pages: web.WebServer,
         drain_s: float,
-        bounds: rounds.Bounds,
+        bounds: situation.Bounds,
         metrics: metric_values.Metrics,
     ):
         self.name = name
--- a/chervilcove/control/estimates.py
+++ b/chervilcove/control/estimates.py
@@ -4,7 +4,7 @@
 from collections.abc import Iterable
 
 from chervilcove.dispatch import headroom
-from chervilcove.dispatch import rounds
+from chervilcove.dispatch import wants
 from chervilcove.jobs import table
 
 FACTOR_WEIGHT = 0.15  # weight of the newest run in the learned duration
@@ -38,16 +38,16 @@
         ratio = ran_s * 1000 / estimate_ms
         self.factors[queue] = known + FACTOR_WEIGHT * (ratio - known)
 
-    def measure_work(self, jobs: Iterable[table.Job]) -> dict[str, float]:
-        """Return the mean declared work of the jobs known, by queue.
-
-        Urgent jobs not seen before count as arrivals.
-        """
+    def note_jobs(self, jobs: Iterable[table.Job]) -> None:
+        """Count the jobs not seen before, and the urgent ones as arrivals."""
         for job in jobs:
             if job.id in self._counted:
                 continue
             self._counted.add(job.id)
             submission = job.submission
+            count, mean = self._work.get(submission.queue, (0, 0.0))
+            mean += (wants.compute_work(job.spec) - mean) / (count + 1)
+            self._work[submission.queue] = (count + 1, mean)
             if submission.priority == 0 and not job.spec.is_lasting:
                 self.urgent.append(
                     headroom.Arrival(
@@ -56,9 +56,9 @@
                         job.spec.steps[0],
                     )
                 )
-            count, mean = self._work.get(job.submission.queue, (0, 0.0))
-            mean += (rounds.compute_work(job.spec) - mean) / (count + 1)
-            self._work[job.submission.queue] = (count + 1, mean)
+
+    def get_mean_work(self) -> dict[str, float]:
+        """Return the mean declared work of the jobs counted, by queue."""
         return {queue: mean for queue, (_, mean) in self._work.items()}
 
     def forget(self, job: str) -> None:
--- a/chervilcove/control/fleet.py
+++ b/chervilcove/control/fleet.py
@@ -101,8 +101,12 @@
             self._log.info("worker_unlisted", worker=worker)
             self._gone[worker] = now
         self.reports = dict(reports)
+        self.drop_unlisted()
+
+    def drop_unlisted(self) -> None:
+        """Forget workers that are not listed and hold no runs of ours."""
         for worker in list(self.sessions):
-            if worker not in reports and not self._is_busy(worker):
+            if worker not in self.reports and not self._is_busy(worker):
                 self._drop(worker)
 
     def refresh(self, evacuated: frozenset[str]) -> None:
@@ -152,9 +156,7 @@
             == (report.host, report.port)
         ):
             room = self.rooms.by_worker[report.id]
-            if room.worker.life == report.life:
-                return
-            if report.life < room.worker.life:
+            if report.life <= room.worker.life:
                 return
         self._connect(report, session)
 
--- a/chervilcove/control/owners.py
+++ b/chervilcove/control/owners.py
@@ -27,6 +27,7 @@
 from chervilcove.dispatch import moving
 from chervilcove.dispatch import rooms as room_values
 from chervilcove.dispatch import rounds
+from chervilcove.dispatch import situation
 from chervilcove.jobs import configuration
 from chervilcove.jobs import records
 from chervilcove.jobs import specs
@@ -64,7 +65,7 @@
         surroundings: ports.Surroundings,
         get_operations: Callable[[], ports.Operations],
         on_deposed: Callable[[str], None],
-        bounds: rounds.Bounds,
+        bounds: situation.Bounds,
         is_predecessor_gone: bool,
         metrics: metric_values.Metrics,
     ):
@@ -466,10 +467,7 @@
                         self._end_member(run, member, "lost")
             self._settle(worker)
             self.fleet.health.note_refused(worker, now)
-        for worker in list(self.fleet.sessions):
-            if worker not in self.fleet.reports and not self._is_busy(worker):
-                self.fleet.update(self.fleet.reports)
-                break
+        self.fleet.drop_unlisted()
 
     def _move_runs(self) -> None:
         """Stop runs that are better begun again on another worker."""
@@ -542,19 +540,9 @@
         )
 
     def _get_queue(self, job: table.Job) -> configuration.Queue:
-        submission = job.submission
         config = self._get_operations().configuration
-        queue = config and config.queues.get(submission.queue)
-        return queue or configuration.Queue(
-            name=submission.queue,
-            host="",
-            prefix="",
-            service=submission.service,
-            priority=submission.priority,
-            attempts=submission.attempts,
-            stretch=submission.stretch,
-            target_ms=submission.target_ms,
-        )
+        queue = config and config.queues.get(job.submission.queue)
+        return queue or job.submission.build_queue()
 
     def _close_jobs(self) -> None:
         """Stop what is cancelled or has failed; write the ends of jobs."""
@@ -644,10 +632,12 @@
         if self._follower.reachable_since is None or self.writer.backlog > 500:
             return
         now = time.monotonic()
+        jobs = list(self._table.open.values())
+        self._estimates.note_jobs(jobs)
         plan = rounds.decide(
-            rounds.Situation(
+            situation.Situation(
                 now_ms=int(time.time() * 1000),
-                jobs=list(self._table.open.values()),
+                jobs=jobs,
                 get_queue=self._get_queue,
                 customers=operations.configuration.customers,
                 rooms=self.fleet.rooms,
@@ -656,9 +646,7 @@
                     for key, run in self._runs.items()
                 },
                 factors=self._estimates.factors,
-                mean_work=self._estimates.measure_work(
-                    self._table.open.values()
-                ),
+                mean_work=self._estimates.get_mean_work(),
                 is_resting=lambda key: self._resting.get(key, 0.0) > now,
                 get_grants=lambda turn: None,
                 bounds=self._bounds,
@@ -682,7 +670,7 @@
         for start in plan.starts:
             self._order_start(start)
 
-    def _describe(self, run: runs.Run, now: float) -> rounds.Running:
+    def _describe(self, run: runs.Run, now: float) -> situation.Running:
         job = self._table.jobs[run.key.job]
         step = job.spec.steps[run.key.step]
         queue = self._get_queue(job)
@@ -698,7 +686,7 @@
             (one for one in known if one is not None),
             default=max(0.2, step.estimate_ms * factor / 1000 - run_s),
         )
-        return rounds.Running(
+        return situation.Running(
             placed=room_values.Placed(
                 room_values.get_turn(run.key),
                 step.need,
--- a/chervilcove/control/writers.py
+++ b/chervilcove/control/writers.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable
 import time
 from typing import NamedTuple
+from typing import TypeVar
 
 import gevent
 from gevent import event
@@ -101,11 +102,8 @@
                 self._append_batch()
 
     def _append_batch(self) -> None:
-        batch, size = [], 0
-        while self._waiting and size < MAX_BATCH_BYTES:
-            item = self._waiting.pop(0)
-            batch.append(item)
-            size += len(item.key) + len(item.value)
+        batch = _pick_batch(self._waiting)
+        del self._waiting[: len(batch)]
         now = time.monotonic()
         timeout_s = max(
             0.2, min(APPEND_TIMEOUT_S, max(x.deadline for x in batch) - now)
@@ -154,6 +152,9 @@
     on_stored: Callable[[], None] | None
 
 
+AnyItem = TypeVar("AnyItem", CallerItem, OwnerItem)
+
+
 class OwnerWriter(tasks.Task):
     """Append the owner's records in order, each exactly once.
 
@@ -214,12 +215,7 @@
                 key, value = self._beat()
                 self._waiting.append(OwnerItem(key, value, None))
             while self._waiting and not self.is_stopping:
-                batch, size = [], 0
-                for item in self._waiting:
-                    if batch and size > MAX_BATCH_BYTES:
-                        break
-                    batch.append(item)
-                    size += len(item.key) + len(item.value)
+                batch = _pick_batch(self._waiting)
                 if not self._append(batch):
                     return
                 # Never to be appended again, whatever their callers do.
@@ -252,3 +248,15 @@
                 return False
             self.rest(RETRY_S)
         return False
+
+
+def _pick_batch(waiting: list[AnyItem]) -> list[AnyItem]:
+    """Return the first of `waiting`: as many as one append takes."""
+    batch: list[AnyItem] = []
+    size = 0
+    for item in waiting:
+        if size >= MAX_BATCH_BYTES:
+            break
+        batch.append(item)
+        size += len(item.key) + len(item.value)
+    return batch
--- a/chervilcove/dispatch/headroom.py
+++ b/chervilcove/dispatch/headroom.py
@@ -60,49 +60,40 @@
     workers, so that they empty as what runs there ends.
     """
     step = shape.step
-    slots = []
-    for room in rooms.list_open(shape.service, step.label):
-        count = count_slots(room.worker.capacity, step)
-        if count:
-            slots.append((room, count))
-    groups: dict[str, list] = {}
-    for room, count in slots:
-        rack = room.worker.rack if step.same_rack else ""
-        groups.setdefault(rack, []).append((room, count))
-    chosen = None
-    most = None
-    for name in sorted(groups):
-        picked, free = _pick(groups[name], step.count)
-        if picked is not None and (most is None or free > most):
-            chosen, most = picked, free
-    if chosen is None:
+    candidates = rooms.list_open(shape.service, step.label)
+    groups = [candidates]
+    if step.same_rack:
+        racks = room_values.group_by_rack(candidates)
+        groups = [racks[name] for name in sorted(racks)]
+    picks = [pick for group in groups if (pick := _pick(group, step))]
+    best = max(picks, key=lambda pick: pick.free, default=None)
+    if best is None:
         return None
-    return room_values.Placed(TURN, step.need, tuple(chosen))
+    return room_values.Placed(TURN, step.need, best.workers)
 
 
-def count_slots(capacity: specs.Need, step: specs.Step) -> int:
-    """Return how many tasks of `step` a room of `capacity` holds."""
-    counts = [
-        whole // each
-        for whole, each in zip(capacity, step.need, strict=True)
-        if each
-    ]
-    return min(counts, default=step.count)
+class _Pick(NamedTuple):
+    """Hold a worker for each task, and the accelerators free on them."""
 
+    workers: tuple[str, ...]
+    free: int
 
-def _pick(
-    group: list[tuple[room_values.Room, int]], count: int
-) -> tuple[list[str] | None, int]:
-    """Return a worker for each task, and what is free of their room."""
+
+def _pick(group: list[room_values.Room], step: specs.Step) -> _Pick | None:
+    """Return the workers of `group` to keep, None if it can't hold `step`."""
     ordered = sorted(
-        group, key=lambda one: (-one[0].accelerators, one[0].worker.id)
+        group, key=lambda room: (-room.accelerators, room.worker.id)
     )
-    picked: list[str] = []
+    workers: list[str] = []
     free = 0
-    for room, slots in ordered:
-        taken = min(slots, count - len(picked))
-        picked += [room.worker.id] * taken
-        free += min(room.accelerators, room.worker.capacity.accelerators)
-        if len(picked) == count:
-            return picked, free
-    return None, 0
+    for room in ordered:
+        slots = room_values.count_fitting(
+            room.worker.capacity, step.need, step.count - len(workers)
+        )
+        if not slots:
+            continue
+        workers += [room.worker.id] * slots
+        free += room.accelerators
+        if len(workers) == step.count:
+            return _Pick(tuple(workers), free)
+    return None
--- a/chervilcove/dispatch/order.py
+++ b/chervilcove/dispatch/order.py
@@ -9,6 +9,7 @@
 would make the next one late.
 """
 
+from collections.abc import Sequence
 import enum
 from typing import NamedTuple
 
@@ -64,11 +65,25 @@
         spec: The job.
         factor: Learned ratio of true to declared durations.
     """
+    lengths_ms = [
+        max(step.estimate_ms * factor, LEAST_ESTIMATE_MS) for step in spec.steps
+    ]
+    return measure_chain_ms(spec.steps, lengths_ms)
+
+
+def measure_chain_ms(
+    steps: Sequence[specs.Step], lengths_ms: Sequence[float]
+) -> float:
+    """Return the longest chain of steps that wait for each other.
+
+    Args:
+        steps: The steps.
+        lengths_ms: How long each takes.
+    """
     ends: list[float] = []
-    for step in spec.steps:
+    for step, length_ms in zip(steps, lengths_ms, strict=True):
         begin = max((ends[each] for each in step.after), default=0.0)
-        length = max(step.estimate_ms * factor, LEAST_ESTIMATE_MS)
-        ends.append(begin + length)
+        ends.append(begin + length_ms)
     return max(ends)
 
 
--- a/chervilcove/dispatch/placement.py
+++ b/chervilcove/dispatch/placement.py
@@ -63,9 +63,7 @@
     if ask.step.data_rack:
         groups.append(_pick_rack(candidates, ask.step.data_rack))
     if ask.step.same_rack and not (ask.step.data_rack and ask.is_patient):
-        racks: dict[str, list[room_values.Room]] = {}
-        for room in candidates:
-            racks.setdefault(room.worker.rack, []).append(room)
+        racks = room_values.group_by_rack(candidates)
         # The rack with the least free room that still holds the gang.
         groups += sorted(racks.values(), key=room_values.count_free)
     is_bound = ask.step.same_rack or bool(ask.step.data_rack)
@@ -110,19 +108,11 @@
 
 
 def _count_fitting(room: room_values.Room, ask: Ask) -> int:
-    need = ask.step.need
     most = ask.count
-    for free, each in (
-        (room.cpu, need.cpu),
-        (room.memory_mb, need.memory_mb),
-        (room.accelerators, need.accelerators),
-    ):
-        if each:
-            most = min(most, free // each)
     if ask.step.most_per_worker:
         taken = room.tasks.get(ask.turn, 0)
         most = min(most, ask.step.most_per_worker - taken)
-    return max(0, most)
+    return room_values.count_fitting(room.free, ask.step.need, most)
 
 
 def _pick_rack(
--- a/chervilcove/dispatch/rooms.py
+++ b/chervilcove/dispatch/rooms.py
@@ -45,6 +45,11 @@
         self.cpu, self.memory_mb, self.accelerators = worker.capacity
         self.tasks: dict[tuple[str, int, int], int] = {}
 
+    @property
+    def free(self) -> specs.Need:
+        """Return what is free; less than nothing where it was overdrawn."""
+        return specs.Need(self.cpu, self.memory_mb, self.accelerators)
+
     def fits(self, need: specs.Need) -> bool:
         """Tell whether one more task with `need` fits."""
         return (
@@ -127,6 +132,22 @@
     return (key.job, key.occurrence, key.step)
 
 
+def count_fitting(free: specs.Need, need: specs.Need, most: int) -> int:
+    """Return how many tasks with `need` fit into `free`, `most` at most."""
+    counts = [
+        whole // each for whole, each in zip(free, need, strict=True) if each
+    ]
+    return max(0, min([most, *counts]))
+
+
+def group_by_rack(rooms: Iterable[Room]) -> dict[str, list[Room]]:
+    """Return `rooms` by their rack."""
+    racks: dict[str, list[Room]] = {}
+    for room in rooms:
+        racks.setdefault(room.worker.rack, []).append(room)
+    return racks
+
+
 def count_free(rooms: Iterable[Room]) -> int:
     """Return the free accelerators of `rooms` together."""
     return sum(max(0, room.accelerators) for room in rooms)
--- a/chervilcove/jobs/records.py
+++ b/chervilcove/jobs/records.py
@@ -13,6 +13,7 @@
 import msgspec
 
 from chervilcove.core import errors
+from chervilcove.jobs import configuration
 from chervilcove.jobs import specs
 
 _decoder = msgspec.msgpack.Decoder()
@@ -61,6 +62,19 @@
     stretch: float = 3.0
     target_ms: int = 0
 
+    def build_queue(self) -> configuration.Queue:
+        """Return the queue as it was, for one that no caller reaches."""
+        return configuration.Queue(
+            name=self.queue,
+            host="",
+            prefix="",
+            service=self.service,
+            priority=self.priority,
+            attempts=self.attempts,
+            stretch=self.stretch,
+            target_ms=self.target_ms,
+        )
+
 
 class Place(NamedTuple):
     """Name a worker in one of its lives.
--- a/chervilcove/jobs/table.py
+++ b/chervilcove/jobs/table.py
@@ -66,6 +66,17 @@
 WAITING_UNIT = records.UnitRecord(0, 0, Status.WAITING, (), "", ())
 
 
+def list_units(
+    job: str, occurrence: int, number: int, step: specs.Step
+) -> list[UnitKey]:
+    """Return the units of a step: one for a gang, one a task else."""
+    if step.is_gang:
+        return [UnitKey(job, occurrence, number)]
+    return [
+        UnitKey(job, occurrence, number, index) for index in range(step.count)
+    ]
+
+
 class Job:
     """Hold one job and its units.
 
@@ -151,15 +162,11 @@
 
     def list_waiting(self, occurrence: int, step: int) -> list[UnitKey]:
         """Return the units of a step that wait for a run."""
-        if self.spec.steps[step].is_gang:
-            keys = [UnitKey(self.id, occurrence, step)]
-        else:
-            keys = [
-                UnitKey(self.id, occurrence, step, index)
-                for index in range(self.spec.steps[step].count)
-            ]
+        described = self.spec.steps[step]
         return [
-            key for key in keys if self.get_unit(key).status == Status.WAITING
+            key
+            for key in list_units(self.id, occurrence, step, described)
+            if self.get_unit(key).status == Status.WAITING
         ]
 
     def count_waiting(self, occurrence: int, step: int) -> int:
--- a/chervilcove/platform/core.py
+++ b/chervilcove/platform/core.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 import signal
+import sys
 
 import gevent
 from gevent import event
@@ -10,9 +11,10 @@
 from chervilcove.control import core as control
 from chervilcove.control import ports
 from chervilcove.core import http
+from chervilcove.core import logs
 from chervilcove.core import metrics as metric_values
 from chervilcove.core import web
-from chervilcove.dispatch import rounds
+from chervilcove.dispatch import situation
 from chervilcove.platform import callers
 from chervilcove.platform import minions
 from chervilcove.platform import notices
@@ -62,7 +64,7 @@
         ready=_create_server(fleet["ready"]),
         pages=_create_server(fleet["metrics"]),
         drain_s=settings["entry"]["drain_s"],
-        bounds=rounds.Bounds(fleet["reclaim_ms"], fleet["stop_ms"]),
+        bounds=situation.Bounds(fleet["reclaim_ms"], fleet["stop_ms"]),
         metrics=metrics,
     )
     callers.Front(server=entry.front, desk=entry.desk)
@@ -70,7 +72,14 @@
 
 
 def run_entry(settings: global_settings.Settings) -> None:
-    """Run an entry until SIGTERM; SIGHUP notes that settings changed."""
+    """Run an entry until SIGTERM; SIGHUP notes that settings changed.
+
+    Its log goes to standard output.
+    """
+    logs.set_up(
+        level=settings["log_level"],
+        stream=logs.BoundedStream(descriptor=sys.stdout.fileno()),
+    )
     entry = create_entry(settings)
     stopped = event.Event()
     gevent.signal_handler(signal.SIGTERM, stopped.set)
--- a/tests/control/system.py
+++ b/tests/control/system.py
@@ -9,7 +9,7 @@
 from chervilcove.control import ports
 from chervilcove.core import metrics as metric_values
 from chervilcove.core import web
-from chervilcove.dispatch import rounds
+from chervilcove.dispatch import situation
 from chervilcove.jobs import configuration
 from chervilcove.jobs import specs
 from chervilcove.standins import fleet as fleets
@@ -78,7 +78,7 @@
             ready=web.WebServer(host="127.0.0.1"),
             pages=web.WebServer(host="127.0.0.1"),
             drain_s=3.0,
-            bounds=rounds.Bounds(),
+            bounds=situation.Bounds(),
             metrics=metric_values.Metrics(),
         )
         self.entries.append(entry)
--- a/tests/dispatch/test_rounds.py
+++ b/tests/dispatch/test_rounds.py
@@ -1,9 +1,12 @@
 from chervilcove.dispatch import headroom
 from chervilcove.dispatch import health
+from chervilcove.dispatch import patience
 from chervilcove.dispatch import placement
 from chervilcove.dispatch import preemption
 from chervilcove.dispatch import rooms as room_values
 from chervilcove.dispatch import rounds
+from chervilcove.dispatch import situation
+from chervilcove.dispatch import wants
 from chervilcove.jobs import configuration
 from chervilcove.jobs import records
 from chervilcove.jobs import specs
@@ -57,7 +60,7 @@
     due_since=None,
 ):
     return rounds.decide(
-        rounds.Situation(
+        situation.Situation(
             now_ms=NOW_MS,
             jobs=jobs,
             get_queue=lambda job: QUEUES[job.submission.queue],
@@ -86,7 +89,7 @@
         "run_s": 1.0,
         "left_s": 5.0,
     }
-    running = rounds.Running(placed=placed, **{**values, **changes})
+    running = situation.Running(placed=placed, **{**values, **changes})
     return {table.UnitKey(name, 0, 0, 0): running}
 
 
@@ -260,7 +263,7 @@
         running = occupy(rooms, "x", "w0", 8, run_s=12.0)
         jobs = [build_job("u", build_step(8), queue="urgent")]
         assert not run_round(jobs, rooms, running).stops
-        mean = {"urgent": rounds.compute_work(jobs[0].spec) / 4}
+        mean = {"urgent": wants.compute_work(jobs[0].spec) / 4}
         assert run_round(jobs, rooms, running, mean_work=mean).stops
 
     def test_work_in_time_comes_before_work_that_is_late(self):
@@ -385,7 +388,7 @@
             )
             rooms.take(placed)
             unit = table.UnitKey(name, 0, 0, 0)
-            running[unit] = rounds.Running(
+            running[unit] = situation.Running(
                 placed, False, False, False, run_s=1.0, left_s=20.0
             )
         return running
@@ -403,7 +406,7 @@
         # htsw-sched quiet-1: analyses of 4 whole workers in one rack waited
         # in a full pool, and went to several racks at the moment that it was
         # half empty: 33 s instead of 11, on workers that urgent work needed.
-        plan = self._decide(rounds.RESCUE_MS)
+        plan = self._decide(patience.RESCUE_MS)
         assert len(plan.stops) == 1
         assert plan.starts == []
 
@@ -413,16 +416,16 @@
         assert list(plan.due_since.values()) == [NOW_MS]
 
     def test_other_gangs_are_not_stopped_for_it(self):
-        assert self._decide(rounds.RESCUE_MS, workers=2).stops == []
+        assert self._decide(patience.RESCUE_MS, workers=2).stops == []
 
     def test_it_goes_elsewhere_as_its_patience_ends(self):
-        assert len(self._decide(rounds.PATIENCE_MS, workers=2).starts) == 1
+        assert len(self._decide(patience.PATIENCE_MS, workers=2).starts) == 1
 
     def test_a_task_that_lasts_waits_for_its_rack_for_a_time_only(self):
         rooms = build_rooms(2, per_rack=1)
         running = occupy(rooms, "x", "w0", 8)
         step = build_step(8, data_rack="r0", is_lasting=True)
-        for waited_ms, starts in ((100, 0), (rounds.PATIENCE_MS, 1)):
+        for waited_ms, starts in ((100, 0), (patience.PATIENCE_MS, 1)):
             job = build_job("f" * 16, step, since_ms=NOW_MS - waited_ms)
             assert len(run_round([job], rooms, running).starts) == starts
 
