Logged each refused call, and the room kept for urgent work.

Change: `call_refused` names kind, reason and what decided it (version of the configuration, silence of the ledger, offset); the counter `calls.refused.KIND`. A job handed in again is `job_submitted outcome=known`. `room_kept` and `room_released` tell of a change of the room's size, `job_waits` has `kept_workers`. No key is ever logged.

Ruled out: a line in the web server, which does not know what decided.

--- a/chervilcove/control/desk.py
+++ b/chervilcove/control/desk.py
@@ -68,28 +68,55 @@
         """Return the queue and the customer of a call."""
         config = self._get_operations().configuration
         if config is None:
-            return errors.refuse(
+            refusal = errors.refuse(
                 errors.Kind.UNCONFIGURED,
                 "no configuration was read yet",
                 retry_after_s=RETRY_AFTER_S,
             )
+            return self.note_refused(refusal, host=host, path=path)
         queue = config.find_queue(host=host, path=path)
         if errors.is_refusal(queue):
-            return queue
+            return self.note_refused(queue, host=host, path=path)
         customer = config.find_customer(key=key, queue=queue)
         if errors.is_refusal(customer):
-            return customer
+            return self.note_refused(customer, host=host, path=path)
         return queue, customer
 
-    def check_size(self, size: int) -> errors.Refusal | None:
+    def check_size(self, size: int, *, path: str) -> errors.Refusal | None:
         """Return why a body of `size` bytes is not read, or None."""
         config = self._get_operations().configuration
         if config is None or size <= config.max_body_bytes:
             return None
-        return errors.refuse(
+        refusal = errors.refuse(
             errors.Kind.TOO_LARGE,
             f"body of {size} bytes, {config.max_body_bytes} allowed",
         )
+        return self.note_refused(refusal, path=path)
+
+    def note_refused(
+        self, refusal: errors.Refusal, **inputs: object
+    ) -> errors.Refusal:
+        """Log and count a call that is refused before it is carried out.
+
+        Args:
+            refusal: Why.
+            **inputs: What decided it besides the state of this entry, which
+                is logged with it: the version of the configuration, and how
+                long the ledger has been silent.
+
+        Returns:
+            The refusal.
+        """
+        self._metrics.count(f"calls.refused.{refusal.kind.value}")
+        self._log.info(
+            "call_refused",
+            kind=refusal.kind.value,
+            reason=refusal.reason,
+            **inputs,
+            config=self._get_version(),
+            silence_s=round(self._follower.get_silence_s(), 2),
+        )
+        return refusal
 
     def submit(
         self,
@@ -103,15 +130,20 @@
         """Accept a job; return how far it is."""
         refusal = specs.check_spec(spec)
         if refusal is not None:
-            return refusal
+            return self.note_refused(refusal, job=job, queue=queue.name)
         known = self._follower.table.jobs.get(job)
         if known is not None:
             if known.spec != spec:
-                return errors.refuse(
+                refusal = errors.refuse(
                     errors.Kind.DUPLICATE_KEY,
                     "the id names another job",
                 )
-            return known.get_state()
+                return self.note_refused(refusal, job=job, queue=queue.name)
+            state = known.get_state()
+            self._log.info(
+                "job_submitted", job=job, outcome="known", state=state.value
+            )
+            return state
         if self._follower.reachable_since is None:
             # Nothing was sent, so that the caller can be told for sure.
             return self._refuse_away(job, time_left_s)
@@ -231,7 +263,7 @@
     def count_waiting(self, *, queue: str) -> int | errors.Refusal:
         """Return the accepted jobs of `queue` that have not begun."""
         if not self._follower.is_loaded:
-            return _refuse_behind()
+            return self.note_refused(_refuse_behind(), queue=queue)
         return self._follower.table.count_waiting(
             queue, int(time.time() * 1000)
         )
@@ -243,10 +275,13 @@
             not self._follower.is_loaded
             or not self._follower.sync(timeout_s=SYNC_S)
         ):
-            return _refuse_behind()
+            return self.note_refused(_refuse_behind(), job=job)
         known = self._follower.table.jobs.get(job)
         if known is None:
-            return errors.refuse(errors.Kind.GONE, "no such job")
+            refusal = errors.refuse(errors.Kind.GONE, "no such job")
+            return self.note_refused(
+                refusal, job=job, offset=self._follower.next_offset
+            )
         return known
 
     def _add_retry(
--- a/chervilcove/control/owners.py
+++ b/chervilcove/control/owners.py
@@ -82,6 +82,7 @@
         self._resting: dict[table.UnitKey, float] = {}
         self._estimates = estimates.Estimates()
         self._due_since: dict[tuple[str, int, int], int] = {}
+        self._kept_room = waits.KeptRoom(log=self.log)
         self._renewals: list[sessions.Renewal] = []
         self._workers: dict[str, ports.WorkerReport] | None = None
         self._wake = event.Event()
@@ -618,6 +619,7 @@
             runs=self._runs,
             rooms=self.fleet.rooms,
             get_queue=self._get_queue,
+            kept=self._kept_room.placed,
             now_ms=now_ms,
         )
 
@@ -655,6 +657,9 @@
             )
         )
         self._due_since = plan.due_since
+        self._kept_room.note(
+            plan.headroom, arrivals=len(self._estimates.urgent)
+        )
         self._metrics.record_time("rounds", time.monotonic() - began)
         self._metrics.set_gauge("fleet.open_jobs", len(self._table.open))
         self._metrics.set_gauge("fleet.runs", len(self._runs))
--- a/chervilcove/control/waits.py
+++ b/chervilcove/control/waits.py
@@ -12,6 +12,49 @@
 MOST_EXPLAINED = 3  # jobs explained each sweep; bounds the log
 
 
+class KeptRoom:
+    """Log when room begins to be kept for urgent work, changes and ends.
+
+    Only its size is news: the workers that are kept change with each task
+    that ends.
+
+    Args:
+        log: Where to write.
+
+    Attributes:
+        placed: The room that is kept, None for none.
+    """
+
+    def __init__(self, *, log: logs.Log):
+        self._log = log
+        self.placed: room_values.Placed | None = None
+
+    def note(self, placed: room_values.Placed | None, *, arrivals: int) -> None:
+        """Take what a round kept.
+
+        Args:
+            placed: The room, None for none.
+            arrivals: Urgent jobs that the decision rests on.
+        """
+        before, self.placed = self.placed, placed
+        if _measure(before) == _measure(placed):
+            return
+        if placed is None:
+            self._log.info("room_released", arrivals=arrivals)
+            return
+        self._log.info(
+            "room_kept",
+            tasks=len(placed.workers),
+            need=",".join(str(each) for each in placed.need),
+            workers=",".join(sorted(set(placed.workers))),
+            arrivals=arrivals,
+        )
+
+
+def _measure(placed: room_values.Placed | None) -> tuple | None:
+    return placed and (placed.need, len(placed.workers))
+
+
 def explain(
     *,
     log: logs.Log,
@@ -19,6 +62,7 @@
     runs: Iterable[table.UnitKey],
     rooms: room_values.Rooms,
     get_queue: Callable[[table.Job], configuration.Queue],
+    kept: room_values.Placed | None,
     now_ms: int,
 ) -> None:
     """Log the longest waits, and the room that there is.
@@ -29,6 +73,7 @@
         runs: Units that hold room.
         rooms: Room on workers.
         get_queue: Returns the queue of a job.
+        kept: Room that is kept for urgent work.
         now_ms: Unix milliseconds.
     """
     found = []
@@ -58,5 +103,6 @@
             open_workers=len(candidates),
             fitting_workers=sum(room.fits(step.need) for room in candidates),
             free_accelerators=sum(room.accelerators for room in candidates),
+            kept_workers=len(set(kept.workers)) if kept else 0,
             workers=len(rooms.by_worker),
         )
--- a/chervilcove/core/catalogue.py
+++ b/chervilcove/core/catalogue.py
@@ -44,6 +44,12 @@
         "Jobs refused at once, as the entry does not reach the ledger.",
         "Search the log for `ledger_lost`.",
     ),
+    Metric(
+        "calls.refused.*",
+        "counter",
+        "Calls refused before they were carried out, by kind of refusal.",
+        "Search the log for `call_refused`.",
+    ),
     Metric(
         "jobs.cancel.*",
         "counter",
--- a/chervilcove/dispatch/rounds.py
+++ b/chervilcove/dispatch/rounds.py
@@ -69,11 +69,13 @@
         stops: Runs to end.
         due_since: Since when steps are due, in Unix milliseconds: the room
             is there, but not where they should run. For the next round.
+        headroom: Room that was kept free for urgent work, None for none.
     """
 
     starts: list[Start]
     stops: list[Stop]
     due_since: dict[tuple[str, int, int], int]
+    headroom: room_values.Placed | None = None
 
 
 def decide(now: situation.Situation) -> Plan:
@@ -115,7 +117,12 @@
                 self._now.rooms.free(self._headroom)
             for placed in self._taken:
                 self._now.rooms.free(placed)
-        return Plan(self._starts, self._stops, self._patience.due_since)
+        return Plan(
+            self._starts,
+            self._stops,
+            self._patience.due_since,
+            self._headroom,
+        )
 
     def _keep_headroom(self) -> None:
         """Keep room free for the next urgent job."""
--- a/chervilcove/platform/callers.py
+++ b/chervilcove/platform/callers.py
@@ -114,15 +114,15 @@
         if errors.is_refusal(found):
             return found
         queue, customer = found
-        refusal = self._desk.check_size(len(request.body))
+        refusal = self._desk.check_size(len(request.body), path=request.path)
         if refusal is not None:
             return refusal
         spec = read_job(request.body)
-        if errors.is_refusal(spec):
-            return spec
         job = request.path.removeprefix(queue.prefix)
-        if not _is_id(job):
-            return errors.refuse(errors.Kind.INVALID_VALUE, "no job id")
+        if not errors.is_refusal(spec) and not _is_id(job):
+            spec = errors.refuse(errors.Kind.INVALID_VALUE, "no job id")
+        if errors.is_refusal(spec):
+            return self._desk.note_refused(spec, path=request.path)
         state = self._desk.submit(
             job=job,
             queue=queue,
--- a/tests/platform/test_path.py
+++ b/tests/platform/test_path.py
@@ -2,6 +2,7 @@
 
 import json
 
+import logbook
 import pytest
 
 from chervilcove.core import errors
@@ -189,6 +190,40 @@
         peer.close()
 
 
+class TestRefusals:
+    """Each call that is refused has one line that names its cause."""
+
+    CALLS = [
+        ("GET", f"/batch/{JOB}", None, {"key": "other"}, "unknown_key"),
+        ("GET", f"/none/{JOB}", None, {}, "not_found"),
+        ("GET", f"/batch/{JOB}", None, {"host": "other"}, "not_found"),
+        ("GET", f"/batch/{JOB}", None, {}, "gone"),
+        ("DELETE", f"/batch/{JOB}", None, {}, "gone"),
+        ("POST", f"/batch/{JOB}", b"{", {}, "malformed"),
+        ("POST", f"/batch/{JOB}", {"steps": []}, {}, "invalid_value"),
+        ("POST", "/batch/short", BODY, {}, "invalid_value"),
+        ("POST", f"/batch/{JOB}", b" " * 262_145, {}, "too_large"),
+    ]
+
+    @pytest.mark.parametrize(("method", "path", "body", "how", "kind"), CALLS)
+    def test_the_line_names_call_and_cause(
+        self, call, method, path, body, how, kind
+    ):
+        handler = logbook.TestHandler()
+        with handler.applicationbound():
+            assert call(method, path, body, **how).status >= 400
+        lines = [
+            record.message
+            for record in handler.records
+            if "event=call_refused" in record.message
+        ]
+        assert len(lines) == 1
+        assert f"kind={kind}" in lines[0]
+        assert path in lines[0] or JOB in lines[0]
+        assert "config=7" in lines[0]
+        assert "other" not in lines[0].replace("host=other", "")
+
+
 class TestJobs:
     def test_names_of_the_wire_become_words_of_the_product(self):
         spec = callers.read_job(
