Sent work that failed once to workers that have proved sound.

Long runs that had begun before the spell ended done there and cleared their workers, also in the middle of a rest; a second failure of a unit counted against nobody; and the retry went wherever room was, in one case to the worker that had just failed it.

Change: a run that ends done makes up for one failure before it began. Each failure makes its worker suspect; only first ones close it. A unit that failed goes only to workers that are not suspect, those that did work of late first, spread, until it is due for 2 s or earns nothing. Gangs go to workers without suspects where they can. A rest is logged once.

Ruled out: counting a second failure like a first, as a job that can't be done would close a worker with each attempt.

--- a/chervilcove/control/fleet.py
+++ b/chervilcove/control/fleet.py
@@ -124,6 +124,7 @@
                 and not self.health.is_resting(worker, now)
             )
             room.penalty = self.health.get_penalty(worker)
+            room.proved = self.health.get_proved(worker)
 
     def get_time_left_s(self, worker: str, now: float) -> float | None:
         """Return the least seconds until a worker leaves, None if it stays."""
--- a/chervilcove/control/owners.py
+++ b/chervilcove/control/owners.py
@@ -362,18 +362,19 @@
         self._metrics.count(f"runs.ended.{how}")
         worker = member.place.worker
         if how == "done":
-            self.fleet.health.note_done(worker)
+            self.fleet.health.note_done(worker, run.started)
             job = self._table.jobs.get(run.key.job)
             if job is not None and run.number == 1:
                 self._estimates.note_duration(
                     job, run.key.step, time.monotonic() - run.started
                 )
-        elif how == "failed":
-            unit = self._get_unit(run.key)
-            if not unit.failures and self.fleet.health.note_failed(
-                worker, run.key.format(), time.monotonic()
-            ):
-                self.log.warn("worker_rests", worker=worker, why="failures")
+        elif how == "failed" and self.fleet.health.note_failed(
+            worker,
+            run.key.format(),
+            time.monotonic(),
+            is_first=not self._get_unit(run.key).failures,
+        ):
+            self.log.warn("worker_rests", worker=worker, why="failures")
         self.log.info(
             "run_ended",
             unit=run.key.format(),
@@ -493,8 +494,7 @@
         standstill_s = member.progress.get_standstill_s()
         if standstill_s < moving.STANDSTILL_S:
             return
-        if not self.fleet.health.is_resting(worker, now):
-            self.fleet.health.note_refused(worker, now)
+        if self.fleet.health.note_refused(worker, now):
             self.log.warn(
                 "worker_rests",
                 worker=worker,
--- a/chervilcove/dispatch/patience.py
+++ b/chervilcove/dispatch/patience.py
@@ -11,6 +11,7 @@
 from chervilcove.dispatch import rooms as room_values
 from chervilcove.dispatch import situation
 from chervilcove.dispatch import wants
+from chervilcove.jobs import table
 
 # Wait for a place near the data while under half of the pool is in use,
 # milliseconds; the users' rules allow 3 s with nothing running there.
@@ -86,6 +87,19 @@
             and self._has_rack(want)
         )
 
+    def is_careful(self, want: wants.Want, unit: table.UnitKey) -> bool:
+        """Tell whether a unit waits for workers without failures.
+
+        Load pattern: workers that fail part of what they start, for seconds.
+        A unit that failed is near the end of its attempts, and its job earns
+        nothing without it.
+        """
+        return (
+            want.job.get_unit(unit).failures > 0
+            and want.standing.tier is not order.Tier.WORTHLESS
+            and self.get_due_ms(want) < PATIENCE_MS
+        )
+
     def _is_due(self, want: wants.Want) -> bool:
         """Tell whether a step has to begin soon, be its place the best or not.
 
--- a/chervilcove/dispatch/placement.py
+++ b/chervilcove/dispatch/placement.py
@@ -5,6 +5,11 @@
 of 8, so tasks go where the least is left free, whole workers last; gangs
 that must share a rack get the rack that they fill best; work goes near its
 data, or waits for it while its objective allows.
+
+Load pattern: workers that fail what they start. One bad member breaks a whole
+gang, and a task that failed once is lost with its job if it fails again, so
+gangs go to workers without failures where they can, and such tasks only there,
+first to those that have lately shown that they work.
 """
 
 from typing import NamedTuple
@@ -23,6 +28,7 @@
         service: Pool of workers.
         is_patient: Whether it may still wait for a place near its data.
         allowed: Workers that the queue's policy grants; None for all.
+        is_careful: Whether only workers without failures will do.
     """
 
     turn: tuple[str, int, int]
@@ -31,6 +37,7 @@
     service: str
     is_patient: bool
     allowed: frozenset[str] | None = None
+    is_careful: bool = False
 
 
 def place(rooms: room_values.Rooms, ask: Ask) -> room_values.Placed | None:
@@ -45,6 +52,9 @@
             room for room in candidates if room.worker.id in ask.allowed
         ]
     candidates = [room for room in candidates if room.fits(ask.step.need)]
+    sound = [room for room in candidates if not room.penalty]
+    if ask.is_careful:
+        candidates = sound
     if not candidates:
         return None
     if not ask.step.is_gang:
@@ -53,6 +63,10 @@
             candidates = near or []
         chosen = _fill(candidates, ask)
         return _build(ask, chosen) if chosen else None
+    if len(sound) < len(candidates):
+        placed = _place_gang(sound, ask)
+        if placed is not None:
+            return placed
     return _place_gang(candidates, ask)
 
 
@@ -79,7 +93,9 @@
 def _fill(candidates: list[room_values.Room], ask: Ask) -> list[str]:
     """Return a worker for each task, at most `ask.count` of them.
 
-    Each worker in turn of preference takes as many as fit.
+    Each worker in turn of preference takes as many as fit; tasks that last
+    and tasks that failed are spread first, so that one bad worker does not
+    take them all.
     """
     need = ask.step.need
     chosen: list[str] = []
@@ -89,18 +105,22 @@
         key=lambda room: (
             bool(data_rack) and room.worker.rack != data_rack,
             room.penalty,
+            -room.proved if ask.is_careful else 0.0,
             room.accelerators - need.accelerators,
             room.cpu,
             room.worker.id,
         ),
     )
+    is_spread = not ask.step.is_gang and (ask.step.is_lasting or ask.is_careful)
     for room in ordered:
-        most = _count_fitting(room, ask) if not ask.step.is_lasting else 1
+        most = _count_fitting(room, ask)
+        if is_spread:
+            most = min(most, 1)
         chosen += [room.worker.id] * min(most, ask.count - len(chosen))
         if len(chosen) == ask.count:
             return chosen
-    if ask.step.is_lasting and chosen:
-        # Lasting tasks spread first; then whatever room is left.
+    if is_spread and chosen:
+        # Then whatever room is left.
         for room in ordered:
             most = _count_fitting(room, ask) - 1
             chosen += [room.worker.id] * min(most, ask.count - len(chosen))
--- a/chervilcove/dispatch/rooms.py
+++ b/chervilcove/dispatch/rooms.py
@@ -36,12 +36,14 @@
         worker: The worker.
         is_open: Whether it may get new tasks.
         penalty: Standing among its peers; 0 for good, higher is worse.
+        proved: When the newest run began that ended done there; any clock.
     """
 
     def __init__(self, *, worker: Worker):
         self.worker = worker
         self.is_open = True
         self.penalty = 0
+        self.proved = 0.0
         self.cpu, self.memory_mb, self.accelerators = worker.capacity
         self.tasks: dict[tuple[str, int, int], int] = {}
 
--- a/chervilcove/dispatch/rounds.py
+++ b/chervilcove/dispatch/rounds.py
@@ -149,32 +149,43 @@
             for unit in want.job.list_waiting(want.occurrence, want.step)
             if not self._now.is_resting(unit)
         ]
-        if not units:
-            return
         allowed = None
         if want.queue.needs_advice:
             allowed = self._now.get_grants(want.turn)
             if allowed is None:
                 return
-        is_patient = self._patience.is_patient(want)
+        # Those that failed choose first: fewer workers will do for them.
+        for is_careful in (True, False):
+            chosen = [
+                unit
+                for unit in units
+                if self._patience.is_careful(want, unit) == is_careful
+            ]
+            if chosen:
+                self._serve_units(want, chosen, allowed, is_careful=is_careful)
+
+    def _serve_units(
+        self,
+        want: wants.Want,
+        units: list[table.UnitKey],
+        allowed: frozenset[str] | None,
+        *,
+        is_careful: bool,
+    ) -> None:
+        is_gang = want.described.is_gang
         ask = placement.Ask(
             turn=want.turn,
             step=want.described,
-            count=(
-                want.described.count if want.described.is_gang else len(units)
-            ),
+            count=want.described.count if is_gang else len(units),
             service=want.queue.service,
-            is_patient=is_patient,
+            is_patient=self._patience.is_patient(want),
             allowed=allowed,
+            is_careful=is_careful,
         )
         placed = placement.place(self._now.rooms, ask)
         if placed is not None:
             self._start(want, units, placed)
-            missing = (
-                0
-                if want.described.is_gang
-                else len(units) - len(placed.workers)
-            )
+            missing = 0 if is_gang else len(units) - len(placed.workers)
             if not missing:
                 return
             ask = ask._replace(count=missing)
--- a/tests/dispatch/test_rounds.py
+++ b/tests/dispatch/test_rounds.py
@@ -363,10 +363,125 @@
     def test_work_that_ends_done_clears_it(self):
         judged = health.WorkerHealth()
         judged.note_failed("w", "a", 0.0)
-        judged.note_done("w")
+        judged.note_done("w", 0.5)
         assert not judged.note_failed("w", "b", 1.0)
         assert judged.get_penalty("w") == 1
 
+    def test_work_that_began_before_a_failure_clears_nothing(self):
+        # htsw-sched-grown scale-2: workers that failed a third of what they
+        # started were cleared by long runs that had begun before, got new
+        # tasks at once, and 16 jobs failed.
+        judged = health.WorkerHealth()
+        judged.note_failed("w", "a", 1.0)
+        judged.note_done("w", 0.5)
+        assert judged.get_penalty("w") == 1
+        assert judged.note_failed("w", "b", 2.0)
+        judged.note_done("w", 1.5)
+        assert judged.is_resting("w", 3.0)
+        judged.note_done("w", 9.0)
+        assert judged.get_penalty("w") == 0
+
+    def test_a_unit_that_failed_before_closes_no_worker(self):
+        # It may be one that can't be done, and fails wherever it runs.
+        judged = health.WorkerHealth()
+        for unit in ("a", "b", "c"):
+            assert not judged.note_failed("w", unit, 1.0, is_first=False)
+        assert judged.get_penalty("w") == 1
+        assert not judged.is_resting("w", 1.0)
+
+    def test_a_rest_is_told_once(self):
+        judged = health.WorkerHealth()
+        judged.note_failed("w", "a", 0.0)
+        assert judged.note_failed("w", "b", 1.0)
+        assert not judged.note_failed("w", "c", 1.1)
+
+    def test_a_run_that_ends_done_proves_its_worker(self):
+        judged = health.WorkerHealth()
+        judged.note_done("w", 2.0)
+        judged.note_done("w", 1.0)
+        assert judged.get_proved("w") == 2.0
+        assert judged.get_proved("v") == 0.0
+
+    def test_each_run_done_makes_up_for_one_failure(self):
+        judged = health.WorkerHealth()
+        judged.note_failed("w", "a", 0.0)
+        judged.note_done("w", 1.0)
+        judged.note_done("w", 1.5)
+        assert judged.get_penalty("w") == 0
+        assert not judged.note_failed("w", "b", 2.0)
+
+
+class TestSuspectWorkers:
+    def _build_failed(self, step):
+        job = build_job("j", step)
+        for unit in table.list_units("j", 0, 0, step):
+            failed = table.WAITING_UNIT._replace(run=1, failed=(1,))
+            job.set_unit(unit, failed)
+        return job
+
+    def test_a_task_that_failed_goes_to_sound_workers_only(self):
+        rooms = build_rooms(2)
+        rooms.by_worker["w0"].penalty = 1
+        occupy(rooms, "x", "w1", 7)
+        job = self._build_failed(build_step(1, 2))
+        plan = run_round([job], rooms)
+        assert [start.workers for start in plan.starts] == [("w1",)]
+
+    def test_others_go_anywhere(self):
+        rooms = build_rooms(2)
+        rooms.by_worker["w0"].penalty = 1
+        occupy(rooms, "x", "w1", 7)
+        plan = run_round([build_job("j", build_step(1, 2))], rooms)
+        assert len(plan.starts) == 2
+
+    def test_it_does_not_wait_for_them_without_end(self):
+        rooms = build_rooms(2)
+        for room in rooms.by_worker.values():
+            room.penalty = 1
+        job = self._build_failed(build_step(1))
+        assert run_round([job], rooms).starts == []
+        due_since = {("j", 0, 0): NOW_MS - patience.PATIENCE_MS}
+        assert run_round([job], rooms, due_since=due_since).starts
+
+    def test_it_goes_where_work_was_done_of_late(self):
+        # The retries of one job all went to a worker that had just turned
+        # bad, as the others were fuller.
+        rooms = build_rooms(4)
+        for name, proved in (("w0", 10.0), ("w2", 90.0), ("w3", 80.0)):
+            rooms.by_worker[name].proved = proved
+        job = self._build_failed(build_step(1, 2))
+        plan = run_round([job], rooms)
+        assert [start.workers for start in plan.starts] == [("w2",), ("w3",)]
+
+    def test_it_spreads_as_its_step_asks(self):
+        # htsw-sched-grown scale-2, a trial: two tasks of a step that allows
+        # one a worker ran on one.
+        rooms = build_rooms(2)
+        step = build_step(1, 3, most_per_worker=1)
+        rooms.take(
+            room_values.Placed(("j", 0, 0), step.need, ("w1",)),
+        )
+        plan = run_round([self._build_failed(step)], rooms)
+        assert [start.workers for start in plan.starts] == [("w0",)]
+
+    def test_urgent_work_that_failed_stops_others_on_sound_workers(self):
+        rooms = build_rooms(2)
+        rooms.by_worker["w0"].penalty = 1
+        running = occupy(rooms, "x", "w1", 8)
+        job = self._build_failed(build_step(8, is_gang=True))
+        job.submission = job.submission._replace(queue="urgent")
+        plan = run_round([job], rooms, running)
+        assert [stop.unit.job for stop in plan.stops] == ["x"]
+        assert plan.starts == []
+
+    def test_a_gang_prefers_a_rack_without_suspects(self):
+        rooms = build_rooms(4)
+        rooms.by_worker["w1"].penalty = 1
+        occupy(rooms, "x", "w0", 4)
+        step = build_step(4, 2, is_gang=True, same_rack=True)
+        plan = run_round([build_job("j", step)], rooms)
+        assert set(plan.starts[0].workers) <= {"w2", "w3"}
+
 
 class TestHeadroom:
     SHAPE = headroom.Arrival(
