Waited shorter for answers of the ledger that may be lost.

Cause: while a share of the answers to writes is lost, each lost one was waited for 1.2 s, by the owner with all of its decisions and by an entry with all of its callers, as one append is in flight at a time.

Change: the first wait is 0.4 s, or four times the usual answer if that is longer, and doubles up to 1.2 s with each loss in a row. Repeats carry the same number, so they do no harm.

Ruled out: a fixed short wait, which a ledger slower than it would never pass.

--- a/chervilcove/control/writers.py
+++ b/chervilcove/control/writers.py
@@ -18,7 +18,12 @@
 from chervilcove.core import tasks
 
 MAX_BATCH_BYTES = 1_000_000  # half of what the ledger takes in one call
-APPEND_TIMEOUT_S = 1.2  # a slow ledger answers in 0.25 s; a lost one never
+APPEND_TIMEOUT_S = 1.2  # most time for an answer; a lost one never comes
+# Least time for an answer: a ledger that is 80 times as slow as usual, the
+# users' worst, answers in 0.32 s.
+FIRST_TIMEOUT_S = 0.4
+TIMES_USUAL = 4.0  # answers later than so many usual ones count as lost
+USUAL_WEIGHT = 0.3  # of an answer that comes sooner than the usual one
 RETRY_S = 0.1  # pause after an append that surely did nothing
 BEAT_S = 0.3  # sign of life of an idle owner; see `elections.SILENCE_S`
 
@@ -28,6 +33,30 @@
     return time.clock_gettime(time.CLOCK_BOOTTIME)
 
 
+class AnswerTimes:
+    """Tell how long an answer of the ledger is waited for.
+
+    Load pattern: half of the answers to writes are lost for seconds, or all
+    of them take sixty times as long. One append is in flight at a time, so
+    that each lost answer holds up all that waits; a repeat does no harm.
+    """
+
+    def __init__(self):
+        self._usual_s = 0.0
+
+    def note(self, took_s: float) -> None:
+        """Learn from an answer; a later one than usual counts in full."""
+        if took_s >= self._usual_s:
+            self._usual_s = took_s
+        else:
+            self._usual_s += USUAL_WEIGHT * (took_s - self._usual_s)
+
+    def get_timeout_s(self, losses: int) -> float:
+        """Return the seconds to wait after `losses` answers in a row."""
+        first_s = max(FIRST_TIMEOUT_S, TIMES_USUAL * self._usual_s)
+        return min(APPEND_TIMEOUT_S, first_s * 2**losses)
+
+
 class CallerItem:
     """Hold a record that a caller waits for.
 
@@ -69,6 +98,8 @@
         self._metrics = metrics
         self._tries = tries
         self._failures = 0
+        self._losses = 0  # answers lost in a row
+        self._times = AnswerTimes()
         self._waiting: list[CallerItem] = []
         self._wake = event.Event()
 
@@ -106,7 +137,11 @@
         del self._waiting[: len(batch)]
         now = time.monotonic()
         timeout_s = max(
-            0.2, min(APPEND_TIMEOUT_S, max(x.deadline for x in batch) - now)
+            0.2,
+            min(
+                self._times.get_timeout_s(self._losses),
+                max(item.deadline for item in batch) - now,
+            ),
         )
         sent_before = [item.was_sent for item in batch]
         for item in batch:
@@ -116,12 +151,16 @@
         )
         if not errors.is_refusal(outcome):
             self._failures = 0
+            self._losses = 0
             for item in batch:
                 item.outcome.set(None)
-            self._metrics.record_time("ledger.append", time.monotonic() - now)
+            took_s = time.monotonic() - now
+            self._times.note(took_s)
+            self._metrics.record_time("ledger.append", took_s)
             return
         self._failures += 1
         is_sure = outcome.kind is errors.Kind.LOG_UNAVAILABLE
+        self._losses = 0 if is_sure else self._losses + 1
         self._metrics.count(f"ledger.append_failed.{outcome.kind.value}")
         if is_sure:
             for item, was_sent in zip(batch, sent_before, strict=True):
@@ -183,6 +222,7 @@
         self._beat = beat
         self._on_deposed = on_deposed
         self._metrics = metrics
+        self._times = AnswerTimes()
         self._waiting: list[OwnerItem] = []
         self._wake = event.Event()
         # By `read_clock`: a suspended owner must not renew as if no time
@@ -228,18 +268,21 @@
         """Append until it is stored; return False once deposed."""
         items = [(item.key, item.value) for item in batch]
         fence = ports.Fence(self._epoch, self._sequence)
+        losses = 0
         while not self.is_stopping:
             began = time.monotonic()
             outcome = self._ledger.append(
-                items, fence=fence, timeout_s=APPEND_TIMEOUT_S
+                items, fence=fence, timeout_s=self._times.get_timeout_s(losses)
             )
             if not errors.is_refusal(outcome):
                 self._sequence += 1
                 self.last_stored = read_clock()
-                self._metrics.record_time(
-                    "ledger.owner_append", time.monotonic() - began
-                )
+                took_s = time.monotonic() - began
+                self._times.note(took_s)
+                self._metrics.record_time("ledger.owner_append", took_s)
                 return True
+            if outcome.kind is errors.Kind.OUTCOME_UNKNOWN:
+                losses += 1
             self._metrics.count(
                 f"ledger.owner_append_failed.{outcome.kind.value}"
             )
--- /dev/null
+++ b/tests/control/test_writers.py
@@ -0,0 +1,103 @@
+import gevent
+import pytest
+
+from chervilcove.control import ports
+from chervilcove.control import writers
+from chervilcove.core import errors
+from chervilcove.core import metrics as metric_values
+from tests.control import system as systems
+
+
+class LossyLedger(ports.Ledger):
+    """Note how long each append is waited for; lose some answers."""
+
+    def __init__(self, *, lose=0, answer_s=0.0):
+        self.lose = lose
+        self.answer_s = answer_s
+        self.timeouts = []
+        self.stored = []
+
+    def append(self, items, *, fence=None, timeout_s):
+        self.timeouts.append(timeout_s)
+        gevent.sleep(0)
+        is_lost = self.lose > 0
+        self.lose -= is_lost
+        if is_lost or self.answer_s > timeout_s:
+            return errors.refuse(errors.Kind.OUTCOME_UNKNOWN, "lost")
+        self.stored.append(fence)
+        return len(self.stored)
+
+    def read(self, offset, *, wait_s, timeout_s):
+        return ports.Chunk([], 0, 0)
+
+    def read_newest(self, *, timeout_s):
+        return ports.Chunk([], 0, 0)
+
+
+@pytest.fixture
+def start():
+    started = []
+
+    def build(kind, ledger, **options):
+        writer = kind(ledger=ledger, metrics=metric_values.Metrics(), **options)
+        started.append(writer)
+        writer.start()
+        return writer
+
+    yield build
+    for writer in started:
+        writer.kill()
+
+
+def start_owner(start, ledger):
+    return start(
+        writers.OwnerWriter,
+        ledger,
+        epoch=1,
+        beat=lambda: ("beat", b"x"),
+        on_deposed=lambda reason: None,
+    )
+
+
+class TestAnswerTimes:
+    def test_a_lost_answer_costs_little_and_a_slow_one_is_waited_for(self):
+        times = writers.AnswerTimes()
+        assert times.get_timeout_s(0) == writers.FIRST_TIMEOUT_S
+        assert times.get_timeout_s(1) == 2 * writers.FIRST_TIMEOUT_S
+        assert times.get_timeout_s(9) == writers.APPEND_TIMEOUT_S
+
+    def test_a_ledger_that_turned_slow_is_waited_for_at_once(self):
+        times = writers.AnswerTimes()
+        times.note(0.008)
+        assert times.get_timeout_s(0) == writers.FIRST_TIMEOUT_S
+        times.note(0.25)
+        assert times.get_timeout_s(0) == pytest.approx(1.0)
+        for _ in range(20):
+            times.note(0.008)
+        assert times.get_timeout_s(0) == writers.FIRST_TIMEOUT_S
+
+
+class TestOwnerWriter:
+    def test_lost_answers_are_waited_for_longer_each_time(self, start):
+        # Load: half of the answers to writes are lost for seconds. Each held
+        # all decisions up for 1.2 s, as one append is in flight at a time.
+        ledger = LossyLedger(lose=3)
+        writer = start_owner(start, ledger)
+        writer.put("k", b"v")
+        systems.wait_until(lambda: ledger.stored)
+        assert ledger.timeouts[:4] == [0.4, 0.8, 1.2, 1.2]
+        assert {fence.sequence for fence in ledger.stored[:1]} == {1}
+
+    def test_a_ledger_slower_than_the_first_wait_is_still_written(self, start):
+        ledger = LossyLedger(answer_s=1.0)
+        start_owner(start, ledger).put("k", b"v")
+        systems.wait_until(lambda: ledger.stored)
+        assert ledger.stored[0].sequence == 1
+
+
+class TestCallerWriter:
+    def test_a_caller_does_not_wait_long_for_a_lost_answer(self, start):
+        ledger = LossyLedger(lose=1)
+        writer = start(writers.CallerWriter, ledger)
+        assert writer.write("j/a", b"v", timeout_s=2.0) is None
+        assert ledger.timeouts == [0.4, 0.8]
