Took appends that are read back for stored.

Cause: while answers to writes are lost, the owner waited for an answer that never came, though it read its own records milliseconds after it had sent them; others took it for silent.

Change: each append of the owner ends with a beat that tells its number. The owner goes on once it reads that beat, and gives an answer as long as usual to follow, so that connections are kept. Ends that need no record of their own are acknowledged without an append.

Ruled out: counting the records read, as dropped keys carry no epoch.

The tests of the writer were written with the code.

--- a/chervilcove/control/core.py
+++ b/chervilcove/control/core.py
@@ -87,7 +87,7 @@
             / 100,
             on_change=self._change_owner,
         )
-        self._follower.add_listener(self._wake_owner)
+        self._follower.add_listener(self._tell_owner)
         self.desk = desks.Desk(
             follower=self._follower,
             writer=self._writer,
@@ -181,6 +181,10 @@
         if self._owner is not None:
             self._owner.wake()
 
+    def _tell_owner(self) -> None:
+        if self._owner is not None:
+            self._owner.note_read()
+
     def _check_ready(self, _request: web.WebRequest) -> Any:
         if self._is_draining:
             return errors.refuse(errors.Kind.DRAINING, "the entry leaves")
--- a/chervilcove/control/elections.py
+++ b/chervilcove/control/elections.py
@@ -85,6 +85,7 @@
         if is_mine and self._epoch is None and not self._is_leaving:
             self._epoch = epoch
             self._follower.own_epoch = epoch
+            self._follower.own_sequence = 0
             self.log.info(
                 "ownership_gained",
                 epoch=epoch,
--- a/chervilcove/control/follower.py
+++ b/chervilcove/control/follower.py
@@ -48,6 +48,8 @@
         # Epoch of this entry's own decisions: their records were applied
         # when they were written.
         self.own_epoch: int | None = None
+        # Newest append of that epoch that was read back.
+        self.own_sequence = 0
         self._listeners: list[Callable[[], None]] = []
         self._advanced = event.Event()
         self._watchers = 0
@@ -151,6 +153,8 @@
                 self.last_owner_sign = time.monotonic()
             if self.own_epoch is not None and record.kind in OWNED_KINDS:
                 continue
+            if record.kind is records.Kind.BEAT and record.value is not None:
+                self._note_beat(record.value)
             self.table.apply(record)
         self.next_offset = chunk.next_offset
         if chunk.records:
@@ -158,6 +162,10 @@
             self._advanced.clear()
             self._tell()
 
+    def _note_beat(self, beat: records.Beat) -> None:
+        if beat.epoch == self.own_epoch:
+            self.own_sequence = max(self.own_sequence, beat.sequence)
+
     def _wait_for(self, offset: int, deadline: float) -> bool:
         while self.next_offset < offset:
             left_s = deadline - time.monotonic()
--- a/chervilcove/control/owners.py
+++ b/chervilcove/control/owners.py
@@ -90,7 +90,6 @@
         self.writer = writers.OwnerWriter(
             ledger=ledger,
             epoch=epoch,
-            beat=self._build_beat,
             on_deposed=on_deposed,
             metrics=metrics,
         )
@@ -132,6 +131,11 @@
         """Run a round soon."""
         self._wake.set()
 
+    def note_read(self) -> None:
+        """Look at what was read in the ledger."""
+        self.writer.note_read_back(self._follower.own_sequence)
+        self.wake()
+
     def run(self) -> None:
         """Decide until stopped."""
         while not self.is_stopping:
@@ -202,12 +206,6 @@
     def _is_busy(self, worker: str) -> bool:
         return bool(self._runs_by_worker.get(worker))
 
-    def _build_beat(self) -> tuple[str, bytes]:
-        return (
-            records.build_key(records.Kind.BEAT),
-            records.encode_value(records.Beat(self.epoch)),
-        )
-
     # One step: take in the news, judge, decide, order.
 
     def _step(self) -> None:
@@ -267,11 +265,8 @@
                     self._end_member(run, member, "lost")
         self._settle(renewal.worker)
         if last > session.last_seen:
-            # Stored after all records that these ends led to.
-            self.writer.put(
-                *self._build_beat(),
-                on_stored=lambda: session.acknowledge(last),
-            )
+            # After all records that these ends led to.
+            self.writer.call_when_stored(lambda: session.acknowledge(last))
 
     def _find(self, task: str) -> runs.Run | None:
         key = table.parse_unit(task)
--- a/chervilcove/control/writers.py
+++ b/chervilcove/control/writers.py
@@ -16,6 +16,7 @@
 from chervilcove.core import errors
 from chervilcove.core import metrics as metric_values
 from chervilcove.core import tasks
+from chervilcove.jobs import records
 
 MAX_BATCH_BYTES = 1_000_000  # half of what the ledger takes in one call
 APPEND_TIMEOUT_S = 1.2  # most time for an answer; a lost one never comes
@@ -23,6 +24,7 @@
 # users' worst, answers in 0.32 s.
 FIRST_TIMEOUT_S = 0.4
 TIMES_USUAL = 4.0  # answers later than so many usual ones count as lost
+LEAST_GRACE_S = 0.05  # an answer and a read of it take some 8 ms each
 USUAL_WEIGHT = 0.3  # of an answer that comes sooner than the usual one
 RETRY_S = 0.1  # pause after an append that surely did nothing
 BEAT_S = 0.2  # sign of life of an idle owner; see `elections.SILENCE_S`
@@ -56,6 +58,10 @@
         first_s = max(FIRST_TIMEOUT_S, TIMES_USUAL * self._usual_s)
         return min(APPEND_TIMEOUT_S, first_s * 2**losses)
 
+    def get_grace_s(self) -> float:
+        """Return the seconds by which an answer may follow its effect."""
+        return max(LEAST_GRACE_S, self._usual_s)
+
 
 class CallerItem:
     """Hold a record that a caller waits for.
@@ -184,7 +190,10 @@
 
 
 class OwnerItem(NamedTuple):
-    """Hold a record of the owner, and what follows once it is stored."""
+    """Hold a record of the owner, and what follows once it is stored.
+
+    One with an empty key is no record: all before it are to be stored.
+    """
 
     key: str
     value: bytes
@@ -197,10 +206,13 @@
 class OwnerWriter(tasks.Task):
     """Append the owner's records in order, each exactly once.
 
+    Each append ends with a beat that tells its number. Load pattern: a share
+    of the answers to writes is lost for seconds. The owner reads the ledger
+    anyway, and goes on once it reads its beat there.
+
     Args:
         ledger: The job ledger.
         epoch: Epoch of the owner.
-        beat: Builds a record that shows that the owner is alive.
         on_deposed: Called once a newer owner is known.
         metrics: Counters.
     """
@@ -210,7 +222,6 @@
         *,
         ledger: ports.Ledger,
         epoch: int,
-        beat: Callable[[], tuple[str, bytes]],
         on_deposed: Callable[[str], None],
         metrics: metric_values.Metrics,
     ):
@@ -219,7 +230,8 @@
         self._epoch = epoch
         # The claim itself was number 0.
         self._sequence = 1
-        self._beat = beat
+        self._read_back = 0  # newest number that was read in the ledger
+        self._is_read_back = event.Event()
         self._on_deposed = on_deposed
         self._metrics = metrics
         self._times = AnswerTimes()
@@ -234,6 +246,12 @@
         """Return the records that are not stored yet."""
         return len(self._waiting)
 
+    def note_read_back(self, sequence: int) -> None:
+        """Learn the newest number that was read in the ledger."""
+        self._read_back = max(self._read_back, sequence)
+        if self._read_back >= self._sequence:
+            self._is_read_back.set()
+
     def put(
         self,
         key: str,
@@ -244,6 +262,13 @@
         self._waiting.append(OwnerItem(key, value, on_stored))
         self._wake.set()
 
+    def call_when_stored(self, callback: Callable[[], None]) -> None:
+        """Call `callback` once all records put before are stored."""
+        if self._waiting:
+            self.put("", b"", callback)
+        else:
+            callback()
+
     def run(self) -> None:
         """Append what waits, and a beat when nothing does."""
         while not self.is_stopping:
@@ -251,12 +276,12 @@
             if self.is_stopping:
                 return
             self._wake.clear()
-            if not self._waiting:
-                key, value = self._beat()
-                self._waiting.append(OwnerItem(key, value, None))
-            while self._waiting and not self.is_stopping:
+            is_idle = not self._waiting
+            while (self._waiting or is_idle) and not self.is_stopping:
+                is_idle = False
                 batch = _pick_batch(self._waiting)
-                if not self._append(batch):
+                keyed = [item for item in batch if item.key]
+                if (keyed or not batch) and not self._append(keyed):
                     return
                 # Never to be appended again, whatever their callers do.
                 del self._waiting[: len(batch)]
@@ -266,13 +291,19 @@
 
     def _append(self, batch: list[OwnerItem]) -> bool:
         """Append until it is stored; return False once deposed."""
-        items = [(item.key, item.value) for item in batch]
-        fence = ports.Fence(self._epoch, self._sequence)
+        beat = records.Beat(self._epoch, self._sequence)
+        items = [
+            *((item.key, item.value) for item in batch),
+            (
+                records.build_key(records.Kind.BEAT),
+                records.encode_value(beat),
+            ),
+        ]
         losses = 0
         while not self.is_stopping:
             began = time.monotonic()
-            outcome = self._ledger.append(
-                items, fence=fence, timeout_s=self._times.get_timeout_s(losses)
+            outcome = self._append_once(
+                items, self._times.get_timeout_s(losses)
             )
             if not errors.is_refusal(outcome):
                 self._sequence += 1
@@ -292,6 +323,33 @@
             self.rest(RETRY_S)
         return False
 
+    def _append_once(
+        self, items: list[tuple[str, bytes]], timeout_s: float
+    ) -> int | None | errors.Refusal:
+        """Append, until the answer comes or the records are read back.
+
+        Returns:
+            The answer, None if the records were read back without one.
+        """
+        self._is_read_back.clear()
+        call = gevent.spawn(
+            self._ledger.append,
+            items,
+            fence=ports.Fence(self._epoch, self._sequence),
+            timeout_s=timeout_s,
+        )
+        try:
+            gevent.wait([call, self._is_read_back], count=1)
+            # Mostly the answer is on its way, too.
+            call.join(timeout=self._times.get_grace_s())
+            if self._read_back < self._sequence:
+                return call.get()
+            if not call.ready():
+                self._metrics.count("ledger.owner_append_read_back")
+            return None
+        finally:
+            call.kill(block=False)
+
 
 def _pick_batch(waiting: list[AnyItem]) -> list[AnyItem]:
     """Return the first of `waiting`: as many as one append takes."""
--- a/chervilcove/core/catalogue.py
+++ b/chervilcove/core/catalogue.py
@@ -128,6 +128,12 @@
         "Appends of callers' records that failed, by kind.",
         "Search the log for `ledger_lost`.",
     ),
+    Metric(
+        "ledger.owner_append_read_back",
+        "counter",
+        "Appends of the owner whose records were read before any answer.",
+        "Rising: answers of the ledger are lost.",
+    ),
     Metric(
         "ledger.owner_append_failed.*",
         "counter",
--- a/chervilcove/jobs/records.py
+++ b/chervilcove/jobs/records.py
@@ -144,9 +144,16 @@
 
 
 class Beat(NamedTuple):
-    """Show that the owner of `epoch` is alive."""
+    """Show that the owner of `epoch` is alive.
+
+    Attributes:
+        epoch: Its epoch.
+        sequence: Number of the append that it is the last record of, by
+            which the owner knows an append whose answer is lost.
+    """
 
     epoch: int
+    sequence: int = 0
 
 
 VALUES: dict[Kind, Any] = {
--- a/tests/control/test_writers.py
+++ b/tests/control/test_writers.py
@@ -5,6 +5,7 @@
 from chervilcove.control import writers
 from chervilcove.core import errors
 from chervilcove.core import metrics as metric_values
+from chervilcove.jobs import records
 from tests.control import system as systems
 
 
@@ -54,7 +55,6 @@
         writers.OwnerWriter,
         ledger,
         epoch=1,
-        beat=lambda: ("beat", b"x"),
         on_deposed=lambda reason: None,
     )
 
@@ -94,6 +94,42 @@
         systems.wait_until(lambda: ledger.stored)
         assert ledger.stored[0].sequence == 1
 
+    def test_an_append_that_is_read_back_needs_no_answer(self, start):
+        # platform_lost: the record is stored, and its answer never comes.
+        ledger = LossyLedger()
+        ledger.append = lambda items, **options: (
+            ledger.timeouts.append(items) or gevent.sleep(1_000.0)
+        )
+        writer = start_owner(start, ledger)
+        stored = []
+        writer.put("k", b"v", lambda: stored.append(True))
+        systems.wait_until(lambda: ledger.timeouts)
+        beat = records.decode(*ledger.timeouts[0][-1])
+        assert beat.value == records.Beat(epoch=1, sequence=1)
+        assert not stored
+        writer.note_read_back(beat.value.sequence)
+        systems.wait_until(lambda: stored)
+
+    def test_what_others_read_back_is_no_answer(self, start):
+        ledger = LossyLedger(lose=1)
+        writer = start_owner(start, ledger)
+        writer.note_read_back(0)
+        writer.put("k", b"v")
+        systems.wait_until(lambda: ledger.stored)
+        assert len(ledger.timeouts) == 2
+
+    def test_what_follows_all_records_needs_no_append_of_its_own(self, start):
+        ledger = LossyLedger()
+        writer = start_owner(start, ledger)
+        order = []
+        writer.put("k", b"v", lambda: order.append("stored"))
+        writer.call_when_stored(lambda: order.append("after"))
+        systems.wait_until(lambda: len(order) == 2)
+        assert order == ["stored", "after"]
+        writer.call_when_stored(lambda: order.append("at once"))
+        assert order[-1] == "at once"
+        assert len(ledger.stored) == 1
+
 
 class TestCallerWriter:
     def test_a_caller_does_not_wait_long_for_a_lost_answer(self, start):
