Told of the room kept for urgent work in each round.

Change: the room is looked for in each round. It binds nobody where nothing waits.

Figures: the new test failed before (no room); a search is one sort of the pool.

--- a/chervilcove/dispatch/rounds.py
+++ b/chervilcove/dispatch/rounds.py
@@ -108,8 +108,7 @@
         try:
             for want in pressing:
                 self._serve(want)
-            if rest:
-                self._keep_headroom()
+            self._keep_headroom()
             for want in rest:
                 self._serve_beside_headroom(want)
         finally:
--- a/tests/dispatch/test_rounds.py
+++ b/tests/dispatch/test_rounds.py
@@ -488,6 +488,12 @@
         NOW_MS, "s", build_step(8, 2, is_gang=True, same_rack=True)
     )
 
+    def test_what_is_kept_is_told_though_nothing_waits(self):
+        # htsw-sched-grown trouble-1: 97 lines said that room was kept and 62
+        # that it was not, as rounds without waiting work kept none.
+        plan = run_round([], build_rooms(4), urgent=[self.SHAPE] * 3)
+        assert len(plan.headroom.workers) == 2
+
     def test_work_that_can_wait_leaves_room_for_urgent_gangs(self):
         # Load: htsw-sched quiet-1, urgent gangs of whole workers about once
         # a second on a pool that batch work fills; each waited 0.5 to 0.9 s
