Answered callers whose records were read back.

Cause: while answers to writes are lost, a caller whose job was stored waited for a second append, which loses its answer as often, and was at last told that the outcome is unknown.

Change: an append without an answer is looked up in the job table, which follows the ledger, before it is repeated, and before a caller is told so.

--- a/chervilcove/control/core.py
+++ b/chervilcove/control/core.py
@@ -77,7 +77,11 @@
         self._owner: owners.Owner | None = None
         self._notices = create_notices(self._wake_owner)
         self._follower = followers.Follower(ledger=ledger, metrics=metrics)
-        self._writer = writers.CallerWriter(ledger=ledger, metrics=metrics)
+        self._writer = writers.CallerWriter(
+            ledger=ledger,
+            metrics=metrics,
+            is_read_back=lambda key: self._follower.table.has_record(key),
+        )
         self._election = elections.Election(
             name=self._identity,
             incarnation=self.incarnation,
--- a/chervilcove/control/writers.py
+++ b/chervilcove/control/writers.py
@@ -89,6 +89,8 @@
     Args:
         ledger: The job ledger.
         metrics: Counters.
+        is_read_back: Tells whether a record of this key was read in the
+            ledger, so that an answer which is lost is not missed.
         tries: Appends that surely did nothing before a caller is refused.
     """
 
@@ -97,9 +99,11 @@
         *,
         ledger: ports.Ledger,
         metrics: metric_values.Metrics,
+        is_read_back: Callable[[str], bool],
         tries: int = 3,
     ):
         super().__init__(name="caller_writer")
+        self._is_read_back = is_read_back
         self._ledger = ledger
         self._metrics = metrics
         self._tries = tries
@@ -128,6 +132,8 @@
         except gevent.Timeout:
             if item in self._waiting:
                 self._waiting.remove(item)
+            if self._is_read_back(key):
+                return None
             return _give_up(item, "no answer of the ledger in time")
 
     def run(self) -> None:
@@ -171,9 +177,13 @@
         if is_sure:
             for item, was_sent in zip(batch, sent_before, strict=True):
                 item.was_sent = was_sent
+        for item in batch:
+            if not item.outcome.ready() and self._is_read_back(item.key):
+                item.outcome.set(None)
         if self._failures >= self._tries and is_sure:
             for item in batch:
-                item.outcome.set(_give_up(item, outcome.reason))
+                if not item.outcome.ready():
+                    item.outcome.set(_give_up(item, outcome.reason))
             return
         self._waiting[:0] = [
             item
--- a/chervilcove/jobs/table.py
+++ b/chervilcove/jobs/table.py
@@ -232,6 +232,17 @@
         elif record.kind is records.Kind.END:
             self._apply_end(record)
 
+    def has_record(self, key: str) -> bool:
+        """Tell whether a caller's record of this key was applied."""
+        record = records.decode(key, b"")
+        if errors.is_refusal(record):
+            return False
+        if record.kind is records.Kind.JOB:
+            return record.name in self.jobs
+        return (
+            record.kind is records.Kind.CANCEL and record.name in self._cancels
+        )
+
     def is_owner_gone(self) -> bool:
         """Tell whether the owner left, or its process surely ended."""
         if self.claim is None or self.claim.is_resigned:
