Asked the policies of queues for workers, and sent their tickets.

Change: `control/grants.py` asks ahead, one call at a time, about the workers that `dispatch/granting.py` chooses, and keeps what is granted while it is valid; rounds already read it. The ticket goes with the start; one that lapsed does not count against its worker. `fleet.policy` is the service's address, the adapter's `advice.py` translates. Accepted jobs remember that their queue has a policy, should the queue be removed.

Ruled out: asking about all workers at once, as the answer takes longer with each worker named; keeping grants in the ledger, as a successor can ask again.

The test of the stand-in's path failed before (no start); the other tests were written with the code.

--- a/chervilcove/conf/global_settings.py
+++ b/chervilcove/conf/global_settings.py
@@ -119,6 +119,7 @@
     ready: _address("IP:port for liveness checks")
     metrics: _address("IP:port for counters and histograms")
     ledger: _address("IP:port of the store that keeps the job ledger")
+    policy: _address("IP:port of the service that knows the queues' policies")
     reclaim_ms: Annotated[
         int,
         msgspec.Meta(
@@ -171,6 +172,7 @@
         "ready": "",
         "metrics": "",
         "ledger": "",
+        "policy": "",
         "reclaim_ms": 2_900,
         "stop_ms": 900,
     },
--- a/chervilcove/control/desk.py
+++ b/chervilcove/control/desk.py
@@ -158,6 +158,7 @@
             attempts=queue.attempts,
             stretch=queue.stretch,
             target_ms=queue.target_ms,
+            needs_advice=queue.needs_advice,
         )
         began = time.monotonic()
         refusal = self._writer.write(
--- a/chervilcove/control/orders.py
+++ b/chervilcove/control/orders.py
@@ -83,7 +83,12 @@
             session.note_deadline(expires_ms)
             outcome = session.calls.start(
                 ports.Order(member.task, run.number, self._epoch),
-                ports.StartOrder(payload, expires_ms, run.resumes_from),
+                ports.StartOrder(
+                    payload,
+                    expires_ms,
+                    run.resumes_from,
+                    run.tickets.get(member.place.worker, ""),
+                ),
                 timeout_s=START_TIMEOUT_S,
             )
             if not errors.is_refusal(outcome):
@@ -115,7 +120,8 @@
             kind=refusal.kind.value if refusal else "stopped",
             reason=refusal.reason if refusal else run.stop_reason,
         )
-        if refusal is not None:
+        if refusal is not None and refusal.kind is not errors.Kind.GONE:
+            # A ticket that lapsed says nothing of the worker.
             self._fleet.health.note_refused(
                 member.place.worker, time.monotonic()
             )
--- a/chervilcove/control/owners.py
+++ b/chervilcove/control/owners.py
@@ -15,6 +15,7 @@
 from chervilcove.control import estimates
 from chervilcove.control import fleet as fleets
 from chervilcove.control import follower as followers
+from chervilcove.control import grants
 from chervilcove.control import orders
 from chervilcove.control import ports
 from chervilcove.control import runs
@@ -109,6 +110,12 @@
             wake=self.wake,
             metrics=metrics,
         )
+        self._grants = grants.Grants(
+            policy=surroundings.connect_policy(),
+            rooms=self.fleet.rooms,
+            wake=self.wake,
+            metrics=metrics,
+        )
         self._feed = surroundings.follow_workers(self._take_workers)
 
     def start(self) -> None:
@@ -116,6 +123,7 @@
         self._inherit()
         self.writer.start()
         self._feed.start()
+        self._grants.start()
         super().start()
 
     def stop(self, *, timeout_s: float = 0.0) -> None:
@@ -123,6 +131,7 @@
         del timeout_s
         self.kill()
         self.writer.kill()
+        self._grants.kill()
         self._feed.stop()
         self.fleet.stop()
         self._orders.kill()
@@ -631,6 +640,7 @@
         now = time.monotonic()
         jobs = list(self._table.open.values())
         self._estimates.note_jobs(jobs)
+        self._grants.set_waiting(self._list_unadvised(jobs))
         plan = rounds.decide(
             situation.Situation(
                 now_ms=int(time.time() * 1000),
@@ -645,7 +655,7 @@
                 factors=self._estimates.factors,
                 mean_work=self._estimates.get_mean_work(),
                 is_resting=lambda key: self._resting.get(key, 0.0) > now,
-                get_grants=lambda turn: None,
+                get_grants=self._grants.get,
                 bounds=self._bounds,
                 urgent=self._estimates.urgent,
                 due_since=self._due_since,
@@ -670,6 +680,24 @@
         for start in plan.starts:
             self._order_start(start)
 
+    def _list_unadvised(self, jobs: list[table.Job]) -> list[grants.Waiting]:
+        """Return the steps that wait and need grants, urgent ones first."""
+        now_ms = int(time.time() * 1000)
+        found = []
+        for job in jobs:
+            queue = self._get_queue(job)
+            if not queue.needs_advice or job.is_cancelled or job.is_failed:
+                continue
+            rank = (queue.priority, job.submission.accepted_ms)
+            for occurrence, number in job.list_turns(now_ms):
+                if job.count_waiting(occurrence, number):
+                    step = job.spec.steps[number]
+                    turn = (job.id, occurrence, number)
+                    waiting = grants.Waiting(turn, queue.service, step)
+                    found.append((rank, waiting))
+        found.sort(key=lambda pair: pair[0])
+        return [waiting for _, waiting in found]
+
     def _describe(self, run: runs.Run, now: float) -> situation.Running:
         job = self._table.jobs[run.key.job]
         step = job.spec.steps[run.key.step]
@@ -712,6 +740,11 @@
             run=before.run + 1, status=table.Status.ACTIVE, places=places
         )
         run = self._add_run(job, start.unit, unit, phase=runs.Phase.ORDERED)
+        turn = room_values.get_turn(start.unit)
+        run.tickets = {
+            worker: self._grants.get_ticket(turn, worker)
+            for worker in start.workers
+        }
         self._metrics.count("runs.ordered")
         self._metrics.record_time("runs.wait", start.waited_ms / 1000)
         self.log.info(
--- a/chervilcove/control/ports.py
+++ b/chervilcove/control/ports.py
@@ -195,7 +195,8 @@
     Refusals: `CONNECT_FAILED` and `BUSY` (it has done nothing),
     `OUTCOME_UNKNOWN`, `FENCED`, `STALE_REVISION` (a run not higher than one
     that ended there, or another life), `DEADLINE_EXCEEDED` (the order came
-    after it expired; detail `clock_ms`), `QUEUE_FULL` (no room).
+    after it expired; detail `clock_ms`), `QUEUE_FULL` (no room), `GONE` (the
+    ticket is not valid any more).
     """
 
     @abc.abstractmethod
@@ -231,6 +232,31 @@
         """Close all connections."""
 
 
+class Granted(NamedTuple):
+    """Hold what a policy grants.
+
+    Attributes:
+        tickets: A ticket for each worker that may run the step.
+        valid_s: Seconds for which these are valid.
+    """
+
+    tickets: dict[str, str]
+    valid_s: float
+
+
+class Policy(abc.ABC):
+    """Decide which workers may run a step; it takes its time.
+
+    Refusals: `BUSY`, `CONNECT_FAILED`, `OUTCOME_UNKNOWN`, `BAD_ANSWER`.
+    """
+
+    @abc.abstractmethod
+    def ask(
+        self, step: str, workers: list[str], *, timeout_s: float
+    ) -> Granted | errors.Refusal:
+        """Return which of `workers` may run `step`, "JOB.OCCURRENCE.STEP"."""
+
+
 class Operations(NamedTuple):
     """Hold what the operator asks for.
 
@@ -250,6 +276,10 @@
     def connect_worker(self, report: WorkerReport) -> WorkerCalls:
         """Return the calls of one worker."""
 
+    @abc.abstractmethod
+    def connect_policy(self) -> Policy | None:
+        """Return the policy of queues, None where there is none."""
+
     @abc.abstractmethod
     def follow_workers(
         self, on_change: Callable[[dict[str, WorkerReport]], None]
--- a/chervilcove/control/runs.py
+++ b/chervilcove/control/runs.py
@@ -61,6 +61,7 @@
         stop_reason: Why it is stopped, empty while it is not.
         is_recorded_done: Whether its end `done` was written.
         started: Monotonic seconds.
+        tickets: Grants of the queue's policy, by worker.
     """
 
     def __init__(
@@ -79,6 +80,7 @@
         self.stop_reason = ""
         self.is_recorded_done = False
         self.started = time.monotonic()
+        self.tickets: dict[str, str] = {}
 
     @property
     def is_over(self) -> bool:
--- a/chervilcove/core/catalogue.py
+++ b/chervilcove/core/catalogue.py
@@ -122,6 +122,12 @@
         "Time to store the records of the owner.",
         "Above 0.2 s: the ledger is slow, and so are starts.",
     ),
+    Metric(
+        "grants.asked",
+        "timing",
+        "Time of a call to the service that knows the queues' policies.",
+        "Search the log for `policy_unanswered`.",
+    ),
     Metric(
         "ledger.append_failed.*",
         "counter",
--- a/chervilcove/jobs/records.py
+++ b/chervilcove/jobs/records.py
@@ -49,6 +49,7 @@
         attempts: Failed runs of a task after which the job has failed.
         stretch: Times its longest chain that it may take in time.
         target_ms: Milliseconds added to that.
+        needs_advice: Whether the queue's policy decides on workers.
     """
 
     job: str
@@ -61,6 +62,7 @@
     attempts: int = 1
     stretch: float = 3.0
     target_ms: int = 0
+    needs_advice: bool = False
 
     def build_queue(self) -> configuration.Queue:
         """Return the queue as it was, for one that no caller reaches."""
@@ -73,6 +75,7 @@
             attempts=self.attempts,
             stretch=self.stretch,
             target_ms=self.target_ms,
+            needs_advice=self.needs_advice,
         )
 
 
--- a/chervilcove/platform/core.py
+++ b/chervilcove/platform/core.py
@@ -15,6 +15,7 @@
 from chervilcove.core import metrics as metric_values
 from chervilcove.core import web
 from chervilcove.dispatch import situation
+from chervilcove.platform import advice
 from chervilcove.platform import callers
 from chervilcove.platform import minions
 from chervilcove.platform import notices
@@ -30,15 +31,24 @@
 
     Args:
         peer: Client of the store.
+        adviser: Address of the service that knows the policies, empty for
+            none.
     """
 
-    def __init__(self, *, peer: http.HttpPeer):
+    def __init__(self, *, peer: http.HttpPeer, adviser: str):
         self._peer = peer
+        self._adviser = adviser
 
     def connect_worker(self, report: ports.WorkerReport) -> ports.WorkerCalls:
         """Return the calls of one minion."""
         return minions.MinionCalls(report=report)
 
+    def connect_policy(self) -> ports.Policy | None:
+        """Return the service that knows the policies."""
+        if not self._adviser:
+            return None
+        return advice.Adviser(address=store.parse_address(self._adviser))
+
     def follow_workers(
         self, on_change: Callable[[dict[str, ports.WorkerReport]], None]
     ) -> ports.Feed:
@@ -55,7 +65,7 @@
     entry = control.FleetEntry(
         name=settings["entry"]["name"],
         ledger=store.KeyedTopic(peer=peer, topic=LEDGER_TOPIC),
-        surroundings=Platform(peer=peer),
+        surroundings=Platform(peer=peer, adviser=fleet["policy"]),
         create_notices=lambda on_change: notices.Notices(
             topic=store.KeyedTopic(peer=peer, topic=OPERATOR_TOPIC),
             on_change=on_change,
--- a/chervilcove/platform/minions.py
+++ b/chervilcove/platform/minions.py
@@ -17,7 +17,7 @@
     "old": errors.Kind.STALE_REVISION,
     "late": errors.Kind.DEADLINE_EXCEEDED,
     "room": errors.Kind.QUEUE_FULL,
-    "ticket": errors.Kind.STALE_REVISION,
+    "ticket": errors.Kind.GONE,
 }
 
 
--- a/chervilcove/standins/fleet.py
+++ b/chervilcove/standins/fleet.py
@@ -23,6 +23,7 @@
         swallow_starts: Starts still to be left without an answer; each is
             kept in `late` to be carried out by `run_late`.
         starts: Every run that began, in order.
+        tickets: The ticket of each of them.
         clashes: Orders to start a task that ran here already.
     """
 
@@ -32,6 +33,7 @@
         self.swallow_starts = 0
         self.late: list[tuple[ports.Order, ports.StartOrder]] = []
         self.starts: list[tuple[str, int]] = []
+        self.tickets: list[str] = []
         self.running: dict[str, int] = {}
         self.percent_per_s = 10.0
         self._begun: dict[str, float] = {}
@@ -153,11 +155,45 @@
         self.running[order.task] = order.run
         self._begun[order.task] = time.monotonic()
         self.starts.append((order.task, order.run))
+        self.tickets.append(details.ticket)
         self._changed.set()
         self._changed.clear()
         return _read_clock_ms()
 
 
+class MemoryPolicy(ports.Policy):
+    """Grant some workers to every step.
+
+    Attributes:
+        granted: Workers that it grants.
+        valid_s: Seconds for which its tickets are valid.
+        refusals: Calls still to be refused.
+        asked: Step and workers of each call.
+    """
+
+    def __init__(self, *, granted: set[str], valid_s: float = 60.0):
+        self.granted = granted
+        self.valid_s = valid_s
+        self.refusals = 0
+        self.asked: list[tuple[str, list[str]]] = []
+
+    def ask(
+        self, step: str, workers: list[str], *, timeout_s: float
+    ) -> ports.Granted | errors.Refusal:
+        """Return which of `workers` may run `step`."""
+        gevent.sleep(0)
+        self.asked.append((step, workers))
+        if self.refusals:
+            self.refusals -= 1
+            return errors.refuse(errors.Kind.BUSY, "busy")
+        tickets = {
+            worker: f"{step}@{worker}"
+            for worker in workers
+            if worker in self.granted
+        }
+        return ports.Granted(tickets, self.valid_s)
+
+
 class MemoryFeed(ports.Feed):
     """Tell a list of workers."""
 
@@ -184,6 +220,7 @@
     """Hold workers named "w0", "w1", … with two to a rack."""
 
     def __init__(self, *, count: int):
+        self.policy: MemoryPolicy | None = None
         self.feeds: list[MemoryFeed] = []
         self.reports = {
             f"w{number}": ports.WorkerReport(
@@ -211,6 +248,10 @@
         """Return the calls of one worker."""
         return self.workers[report.id]
 
+    def connect_policy(self) -> ports.Policy | None:
+        """Return the policy of queues, None where there is none."""
+        return self.policy
+
     def follow_workers(
         self, on_change: Callable[[dict[str, ports.WorkerReport]], None]
     ) -> ports.Feed:
--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -127,6 +127,27 @@
         return web.WebAnswer(409, json.dumps(body).encode())
 
 
+class Adviser:
+    """Serve the policy of a queue, which grants some minions."""
+
+    def __init__(self, granted):
+        self.granted = granted
+        self.bodies = []
+        self.server = web.WebServer(host="127.0.0.1")
+        self.server.add_route("POST", "/advise", self._advise)
+        self.server.start()
+
+    def _advise(self, request):
+        body = json.loads(request.body)
+        self.bodies.append(body)
+        rows = [
+            [name, f"ticket-{name}"]
+            for name in body["workers"]
+            if name in self.granted
+        ]
+        return {"granted": rows, "valid_ms": 3000}
+
+
 class Store:
     """Serve keyed topics over HTTP."""
 
@@ -218,6 +239,7 @@
             self.store.put(
                 "keyed.servers", minion.worker.report.id, build_entry(minion)
             )
+        self.adviser = Adviser({"i-1"})
         self.entry = None
 
     def start_entry(self):
@@ -227,6 +249,7 @@
             ready="127.0.0.1:0",
             metrics="127.0.0.1:0",
             ledger=f"127.0.0.1:{self.store.server.port}",
+            policy=f"127.0.0.1:{self.adviser.server.port}",
         )
         self.entry = platform.create_entry(loaded.settings)
         self.entry.start()
@@ -235,5 +258,5 @@
     def stop(self):
         if self.entry is not None:
             self.entry.kill()
-        for server in [self.store, *self.minions]:
+        for server in [self.store, self.adviser, *self.minions]:
             server.server.stop()
--- a/tests/platform/test_path.py
+++ b/tests/platform/test_path.py
@@ -129,6 +129,22 @@
         systems.wait_until(lambda: call("GET", f"/batch/{JOB}").status == 401)
         assert call("GET", f"/batch/{JOB}", key="key-2").status == 410
 
+    def test_a_queue_with_a_policy_starts_where_it_is_granted(
+        self, platform, call
+    ):
+        advice = {"decide_ms": 5, "each_ms": 1, "valid_ms": 3000}
+        route = {**standin.CONFIG["routes"][0], "advice": advice}
+        config = {**standin.CONFIG, "version": 9, "routes": [route]}
+        platform.store.put("keyed.op", "config", config)
+        notices = platform.entry._notices
+        systems.wait_until(lambda: notices.get().configuration.version == 9)
+        call("POST", f"/batch/{JOB}", BODY)
+        systems.wait_until(lambda: platform.minions[1].bodies)
+        assert platform.minions[1].bodies[0][1]["ticket"] == "ticket-i-1"
+        assert platform.minions[0].bodies == []
+        asked = platform.adviser.bodies[0]
+        assert asked == {"step": f"{JOB}.0.0", "workers": ["i-0", "i-1"]}
+
     def test_a_config_never_goes_back(self, platform, call):
         older = {**standin.CONFIG, "version": 5, "routes": []}
         platform.store.put("keyed.op", "config", older)
