Paced fillers beside tasks that miss their targets.

Change: with each report of a worker the owner chooses the pace of its fillers (`dispatch/pacing.py`, pure): half over a target, none with the second report, back by a tenth a report with room to the target. An order without an answer is sent again with the next report; a successor tells each pace anew.

Ruled out: a stop with the first report, as one report is the tail of half a second; moving the filler away, which loses its work.

--- a/chervilcove/control/orders.py
+++ b/chervilcove/control/orders.py
@@ -20,6 +20,7 @@
 START_VALID_MS = 3_500
 STOP_TIMEOUT_S = 0.6
 STOP_RETRY_S = 0.2
+PACE_TIMEOUT_S = 0.6  # workers answer in milliseconds
 
 
 class Orders:
@@ -177,6 +178,32 @@
         # Without a session: again once there is one.
         member.is_stop_sent = False
 
+    def pace(self, run: runs.Run, member: runs.Member, percent: int) -> None:
+        """Let one task work at a share of its speed."""
+        member.pace = percent
+        self._spawn(self._send_pace, run, member, percent)
+
+    def _send_pace(
+        self, run: runs.Run, member: runs.Member, percent: int
+    ) -> None:
+        session = self._fleet.sessions.get(member.place.worker)
+        if session is None:
+            member.pace = None
+            return
+        outcome = session.calls.pace(
+            ports.Order(member.task, run.number, self._epoch),
+            percent,
+            timeout_s=PACE_TIMEOUT_S,
+        )
+        if not errors.is_refusal(outcome):
+            session.note_clock(outcome)
+            return
+        # Told again with the next report of the worker.
+        member.pace = None
+        self._metrics.count(f"paces.refused.{outcome.kind.value}")
+        if outcome.kind is errors.Kind.FENCED:
+            self._on_deposed(f"worker {member.place.worker} is fenced")
+
     def stop_stray(
         self, session: sessions.Session, task: str, number: int
     ) -> None:
--- a/chervilcove/control/owners.py
+++ b/chervilcove/control/owners.py
@@ -26,6 +26,7 @@
 from chervilcove.core import metrics as metric_values
 from chervilcove.core import tasks
 from chervilcove.dispatch import moving
+from chervilcove.dispatch import pacing
 from chervilcove.dispatch import rooms as room_values
 from chervilcove.dispatch import rounds
 from chervilcove.dispatch import situation
@@ -186,6 +187,8 @@
             )
             member = runs.Member(task=task, place=place, placed=placed)
             member.phase = phase
+            if phase is runs.Phase.KNOWN:
+                member.pace = None  # an earlier owner may have changed it
             members.append(member)
             self._runs_by_worker.setdefault(place.worker, set()).add(key)
             self.fleet.rooms.take(placed)
@@ -273,10 +276,45 @@
                 if is_settled and renewal.asked > member.since:
                     self._end_member(run, member, "lost")
         self._settle(renewal.worker)
+        self._pace_fillers(renewal.worker)
         if last > session.last_seen:
             # After all records that these ends led to.
             self.writer.call_when_stored(lambda: session.acknowledge(last))
 
+    def _pace_fillers(self, worker: str) -> None:
+        """Slow down what disturbs tasks that serve on `worker`."""
+        serving: list[pacing.Serving] = []
+        fillers: list[tuple[runs.Run, runs.Member]] = []
+        for key in self._runs_by_worker.get(worker, ()):
+            run = self._runs[key]
+            step = self._get_step(key)
+            if not (step.is_filler or step.target_ms):
+                continue
+            for member in run.members:
+                is_there = member.phase is runs.Phase.KNOWN
+                if member.place.worker != worker or not is_there:
+                    continue
+                if step.is_filler:
+                    fillers.append((run, member))
+                else:
+                    serving.append(pacing.Serving(member.load, step.target_ms))
+        for run, member in fillers:
+            before = pacing.FULL if member.pace is None else member.pace
+            percent = pacing.choose_pace(before, serving)
+            if percent == member.pace:
+                continue
+            self.log.info(
+                "task_paced",
+                task=member.task,
+                run=run.number,
+                worker=worker,
+                percent=percent,
+                before=member.pace,
+                tails_ms=",".join(f"{one.tail_ms:.0f}" for one in serving),
+                targets_ms=",".join(str(one.target_ms) for one in serving),
+            )
+            self._orders.pace(run, member, percent)
+
     def _find(self, task: str) -> runs.Run | None:
         key = table.parse_unit(task)
         if errors.is_refusal(key):
@@ -309,6 +347,7 @@
             member.since = time.monotonic()
         member.progress.add(time.monotonic(), row.percent)
         member.percent = row.percent
+        member.load = row.load
         if row.checkpoint:
             run.checkpoint = row.checkpoint
 
--- a/chervilcove/control/runs.py
+++ b/chervilcove/control/runs.py
@@ -5,6 +5,7 @@
 from typing import NamedTuple
 
 from chervilcove.dispatch import moving
+from chervilcove.dispatch import pacing
 from chervilcove.dispatch import rooms as room_values
 from chervilcove.jobs import records
 from chervilcove.jobs import table
@@ -32,6 +33,9 @@
         is_stop_sent: Whether a stop is under way or was confirmed.
         percent: How far it is.
         progress: How far it was over the last seconds.
+        load: What its worker says of it; see `ports.RunningTask`.
+        pace: Share of its speed that it was told, percent; None while it is
+            not known.
     """
 
     def __init__(
@@ -47,6 +51,8 @@
         self.is_stop_sent = False
         self.percent = 0.0
         self.progress = moving.Progress()
+        self.load = 0.0
+        self.pace: int | None = pacing.FULL
 
 
 class Run:
--- a/chervilcove/core/catalogue.py
+++ b/chervilcove/core/catalogue.py
@@ -104,6 +104,12 @@
         "Orders to start that were refused or not answered.",
         "Search the log for `start_given_up`.",
     ),
+    Metric(
+        "paces.refused.*",
+        "counter",
+        "Orders on the pace of a filler that a worker did not confirm.",
+        "They are sent again; rising: see `worker_lost`.",
+    ),
     Metric(
         "stops.refused.*",
         "counter",
--- a/chervilcove/standins/fleet.py
+++ b/chervilcove/standins/fleet.py
@@ -24,6 +24,8 @@
             kept in `late` to be carried out by `run_late`.
         starts: Every run that began, in order.
         tickets: The ticket of each of them.
+        loads: What it tells of its tasks' loads, by task.
+        paces: Tasks and the pace that they were told, in order.
         clashes: Orders to start a task that ran here already.
     """
 
@@ -34,6 +36,8 @@
         self.late: list[tuple[ports.Order, ports.StartOrder]] = []
         self.starts: list[tuple[str, int]] = []
         self.tickets: list[str] = []
+        self.loads: dict[str, float] = {}
+        self.paces: list[tuple[str, int]] = []
         self.running: dict[str, int] = {}
         self.percent_per_s = 10.0
         self._begun: dict[str, float] = {}
@@ -106,7 +110,13 @@
             clock_ms=_read_clock_ms(),
             life=self.report.life,
             running=[
-                ports.RunningTask(task, run, "", self._measure(task), 0.0)
+                ports.RunningTask(
+                    task,
+                    run,
+                    "",
+                    self._measure(task),
+                    self.loads.get(task, 0.0),
+                )
                 for task, run in self.running.items()
             ],
             ended=list(self.ended),
@@ -115,7 +125,14 @@
     def pace(
         self, order: ports.Order, percent: int, *, timeout_s: float
     ) -> int | errors.Refusal:
-        """Take any pace."""
+        """Let a task work at a share of its speed."""
+        gevent.sleep(0)
+        if self.is_cut:
+            return errors.refuse(errors.Kind.OUTCOME_UNKNOWN, "cut")
+        if order.fence < self.fence:
+            return errors.refuse(errors.Kind.FENCED, "fence")
+        self.fence = order.fence
+        self.paces.append((order.task, percent))
         return _read_clock_ms()
 
     def close(self) -> None:
