Split the care for running work from the owner.

Change: `control/tending.py` moves runs and paces fillers; the owner calls it. Its lines `worker_rests why=standstill` and `task_paced` have the source `tender`.

--- a/chervilcove/control/owners.py
+++ b/chervilcove/control/owners.py
@@ -20,13 +20,12 @@
 from chervilcove.control import ports
 from chervilcove.control import runs
 from chervilcove.control import sessions
+from chervilcove.control import tending
 from chervilcove.control import waits
 from chervilcove.control import writers
 from chervilcove.core import errors
 from chervilcove.core import metrics as metric_values
 from chervilcove.core import tasks
-from chervilcove.dispatch import moving
-from chervilcove.dispatch import pacing
 from chervilcove.dispatch import rooms as room_values
 from chervilcove.dispatch import rounds
 from chervilcove.dispatch import situation
@@ -111,6 +110,13 @@
             wake=self.wake,
             metrics=metrics,
         )
+        self._tender = tending.Tender(
+            runs_by_key=self._runs,
+            runs_by_worker=self._runs_by_worker,
+            fleet=self.fleet,
+            orders=self._orders,
+            get_step=self._get_step,
+        )
         self._grants = grants.Grants(
             policy=surroundings.connect_policy(),
             rooms=self.fleet.rooms,
@@ -231,7 +237,7 @@
             self._read_renewal(renewal)
         self._lose_runs()
         self._close_jobs()
-        self._move_runs()
+        self._tender.move_runs()
         self._orders.send_stops()
         self._decide()
         if time.monotonic() - self._swept > SWEEP_S:
@@ -276,45 +282,11 @@
                 if is_settled and renewal.asked > member.since:
                     self._end_member(run, member, "lost")
         self._settle(renewal.worker)
-        self._pace_fillers(renewal.worker)
+        self._tender.pace_fillers(renewal.worker)
         if last > session.last_seen:
             # After all records that these ends led to.
             self.writer.call_when_stored(lambda: session.acknowledge(last))
 
-    def _pace_fillers(self, worker: str) -> None:
-        """Slow down what disturbs tasks that serve on `worker`."""
-        serving: list[pacing.Serving] = []
-        fillers: list[tuple[runs.Run, runs.Member]] = []
-        for key in self._runs_by_worker.get(worker, ()):
-            run = self._runs[key]
-            step = self._get_step(key)
-            if not (step.is_filler or step.target_ms):
-                continue
-            for member in run.members:
-                is_there = member.phase is runs.Phase.KNOWN
-                if member.place.worker != worker or not is_there:
-                    continue
-                if step.is_filler:
-                    fillers.append((run, member))
-                else:
-                    serving.append(pacing.Serving(member.load, step.target_ms))
-        for run, member in fillers:
-            before = pacing.FULL if member.pace is None else member.pace
-            percent = pacing.choose_pace(before, serving)
-            if percent == member.pace:
-                continue
-            self.log.info(
-                "task_paced",
-                task=member.task,
-                run=run.number,
-                worker=worker,
-                percent=percent,
-                before=member.pace,
-                tails_ms=",".join(f"{one.tail_ms:.0f}" for one in serving),
-                targets_ms=",".join(str(one.target_ms) for one in serving),
-            )
-            self._orders.pace(run, member, percent)
-
     def _find(self, task: str) -> runs.Run | None:
         key = table.parse_unit(task)
         if errors.is_refusal(key):
@@ -514,42 +486,6 @@
             self.fleet.health.note_refused(worker, now)
         self.fleet.drop_unlisted()
 
-    def _move_runs(self) -> None:
-        """Stop runs that are better begun again on another worker."""
-        now = time.monotonic()
-        for run in list(self._runs.values()):
-            step = self._get_step(run.key)
-            if run.stop_reason or step.is_lasting or run.is_recorded_done:
-                continue
-            for member in run.members:
-                if member.phase is runs.Phase.KNOWN:
-                    self._judge_member(run, member, step, now)
-
-    def _judge_member(
-        self, run: runs.Run, member: runs.Member, step: specs.Step, now: float
-    ) -> None:
-        worker = member.place.worker
-        left_s = member.progress.estimate_left_s()
-        leaves_in_s = self.fleet.get_time_left_s(worker, now)
-        if left_s is not None and moving.is_doomed(left_s, leaves_in_s):
-            self._orders.stop(run, f"{worker} leaves")
-            return
-        standstill_s = member.progress.get_standstill_s()
-        if standstill_s < moving.STANDSTILL_S:
-            return
-        if self.fleet.health.note_refused(worker, now):
-            self.log.warn(
-                "worker_rests",
-                worker=worker,
-                why="standstill",
-                task=member.task,
-                percent=member.percent,
-            )
-        if moving.is_worth_moving(
-            standstill_s, member.percent, is_resumable=step.is_checkpointed
-        ):
-            self._orders.stop(run, f"it stands still on {worker}")
-
     # Jobs.
 
     def _get_unit(self, key: table.UnitKey) -> records.UnitRecord:
--- /dev/null
+++ b/chervilcove/control/tending.py
@@ -0,0 +1,112 @@
+"""Tending: moves and paces of runs that go on."""
+
+from collections.abc import Callable
+from collections.abc import Mapping
+import time
+
+from chervilcove.control import fleet as fleets
+from chervilcove.control import orders as order_values
+from chervilcove.control import runs
+from chervilcove.core import logs
+from chervilcove.dispatch import moving
+from chervilcove.dispatch import pacing
+from chervilcove.jobs import specs
+from chervilcove.jobs import table
+
+
+class Tender:
+    """Look after the runs of one owner.
+
+    Args:
+        runs_by_key: Its runs.
+        runs_by_worker: Keys of the runs on each worker.
+        fleet: Its workers.
+        orders: Sends its orders.
+        get_step: Returns the step of a unit.
+    """
+
+    def __init__(
+        self,
+        *,
+        runs_by_key: Mapping[table.UnitKey, runs.Run],
+        runs_by_worker: Mapping[str, set[table.UnitKey]],
+        fleet: fleets.Fleet,
+        orders: order_values.Orders,
+        get_step: Callable[[table.UnitKey], specs.Step],
+    ):
+        self._runs = runs_by_key
+        self._runs_by_worker = runs_by_worker
+        self._fleet = fleet
+        self._orders = orders
+        self._get_step = get_step
+        self._log = logs.Log(source="tender")
+
+    def move_runs(self) -> None:
+        """Stop runs that are better begun again on another worker."""
+        now = time.monotonic()
+        for run in list(self._runs.values()):
+            step = self._get_step(run.key)
+            if run.stop_reason or step.is_lasting or run.is_recorded_done:
+                continue
+            for member in run.members:
+                if member.phase is runs.Phase.KNOWN:
+                    self._judge_member(run, member, step, now)
+
+    def _judge_member(
+        self, run: runs.Run, member: runs.Member, step: specs.Step, now: float
+    ) -> None:
+        worker = member.place.worker
+        left_s = member.progress.estimate_left_s()
+        leaves_in_s = self._fleet.get_time_left_s(worker, now)
+        if left_s is not None and moving.is_doomed(left_s, leaves_in_s):
+            self._orders.stop(run, f"{worker} leaves")
+            return
+        standstill_s = member.progress.get_standstill_s()
+        if standstill_s < moving.STANDSTILL_S:
+            return
+        if self._fleet.health.note_refused(worker, now):
+            self._log.warn(
+                "worker_rests",
+                worker=worker,
+                why="standstill",
+                task=member.task,
+                percent=member.percent,
+            )
+        if moving.is_worth_moving(
+            standstill_s, member.percent, is_resumable=step.is_checkpointed
+        ):
+            self._orders.stop(run, f"it stands still on {worker}")
+
+    def pace_fillers(self, worker: str) -> None:
+        """Slow down what disturbs tasks that serve on `worker`."""
+        serving: list[pacing.Serving] = []
+        fillers: list[tuple[runs.Run, runs.Member]] = []
+        for key in self._runs_by_worker.get(worker, ()):
+            run = self._runs[key]
+            step = self._get_step(key)
+            if not (step.is_filler or step.target_ms):
+                continue
+            for member in run.members:
+                is_there = member.phase is runs.Phase.KNOWN
+                if member.place.worker != worker or not is_there:
+                    continue
+                if step.is_filler:
+                    fillers.append((run, member))
+                else:
+                    serving.append(pacing.Serving(member.load, step.target_ms))
+        for run, member in fillers:
+            before = pacing.FULL if member.pace is None else member.pace
+            percent = pacing.choose_pace(before, serving)
+            if percent == member.pace:
+                continue
+            self._log.info(
+                "task_paced",
+                task=member.task,
+                run=run.number,
+                worker=worker,
+                percent=percent,
+                before=member.pace,
+                tails_ms=",".join(f"{one.tail_ms:.0f}" for one in serving),
+                targets_ms=",".join(str(one.target_ms) for one in serving),
+            )
+            self._orders.pace(run, member, percent)
