Counted leases without the ledger from when an append was sent.

Read late, after a suspension or a cut, it stamps an old append as new, and leases at workers that the successor does not reach outlive what that one waits for them.

Change: the stamp is the time at which the append was first sent.

Ruled out: a longer wait of the successor, which has no bound for a suspension.

--- a/chervilcove/control/sessions.py
+++ b/chervilcove/control/sessions.py
@@ -26,7 +26,8 @@
 SEEN_WAIT_S = 0.5  # most time that ends may take to be stored
 # Renewals go on this long without a word of the ledger: with the lease itself,
 # running work outlives an outage of 9 s. A successor that can't reach a
-# worker waits for as long.
+# worker waits for as long. They count from when the newest append that is
+# stored was sent.
 LEASE_WITHOUT_LEDGER_S = 3.0
 
 
--- a/chervilcove/control/writers.py
+++ b/chervilcove/control/writers.py
@@ -247,8 +247,9 @@
         self._times = AnswerTimes()
         self._waiting: list[OwnerItem] = []
         self._wake = event.Event()
-        # By `read_clock`: a suspended owner must not renew as if no time
-        # had passed.
+        # By `read_clock`, when the newest append that is stored was first
+        # sent: an answer that is read late, as after a suspension, does not
+        # make an owner renew as if no time had passed.
         self.last_stored = read_clock()
 
     @property
@@ -310,6 +311,7 @@
             ),
         ]
         losses = 0
+        first_sent = read_clock()
         while not self.is_stopping:
             began = time.monotonic()
             outcome = self._append_once(
@@ -317,7 +319,7 @@
             )
             if not errors.is_refusal(outcome):
                 self._sequence += 1
-                self.last_stored = read_clock()
+                self.last_stored = first_sent
                 took_s = time.monotonic() - began
                 self._times.note(took_s)
                 self._metrics.record_time("ledger.owner_append", took_s)
--- a/tests/control/test_writers.py
+++ b/tests/control/test_writers.py
@@ -110,6 +110,27 @@
         writer.note_read_back(beat.value.sequence)
         systems.wait_until(lambda: stored)
 
+    def test_leases_count_from_when_an_append_was_sent(
+        self, start, monkeypatch
+    ):
+        # Found by reading: the machine is suspended for 5 s with an append
+        # under way, and reads its answer once a successor has claimed.
+        moment = [100.0]
+        monkeypatch.setattr(writers, "read_clock", lambda: moment[0])
+        ledger = LossyLedger()
+        append = ledger.append
+
+        def append_suspended(items, **options):
+            moment[0] += 5.0
+            return append(items, **options)
+
+        ledger.append = append_suspended
+        writer = start_owner(start, ledger)
+        stored = []
+        writer.put("k", b"v", lambda: stored.append(writer.last_stored))
+        systems.wait_until(lambda: stored)
+        assert stored == [100.0]
+
     def test_what_others_read_back_is_no_answer(self, start):
         ledger = LossyLedger(lose=1)
         writer = start_owner(start, ledger)
