Suspected workers for 8 s, and placed gangs as before.

Change: suspicion lapses after 8 s, longer than the users' grey spells. Gangs that have not failed are placed as before; those that have go to workers without suspicion only, as before.

--- a/chervilcove/control/fleet.py
+++ b/chervilcove/control/fleet.py
@@ -123,7 +123,7 @@
                 and room.worker.data_centre not in evacuated
                 and not self.health.is_resting(worker, now)
             )
-            room.penalty = self.health.get_penalty(worker)
+            room.penalty = self.health.get_penalty(worker, now)
             room.proved = self.health.get_proved(worker)
 
     def get_time_left_s(self, worker: str, now: float) -> float | None:
--- a/chervilcove/dispatch/health.py
+++ b/chervilcove/dispatch/health.py
@@ -2,7 +2,8 @@
 
 Load pattern: a worker that fails, or never advances, all that it starts is
 always free and so attracts work. A run that fails makes its worker suspect
-until one that began since has ended done. Two units that failed there first,
+until one that began since has ended done, or for as long as such spells last:
+idle workers are missed in a small pool. Two units that failed there first,
 less those made up for, close the worker until it has rested; a unit that had
 failed before may fail anywhere, and closes none.
 """
@@ -12,6 +13,7 @@
 FAILED_UNITS_TO_REST = 2  # of a healthy worker one unit in twenty fails
 FIRST_REST_S = 6.0  # the users' grey spells last 5 to 7 s
 LONGEST_REST_S = 60.0
+SUSPECT_S = 8.0  # the users' grey spells last 5 to 7 s
 
 
 class _Failure(NamedTuple):
@@ -22,7 +24,7 @@
 
 
 class _Rest(NamedTuple):
-    """Hold the rest of a worker; it stays suspect until a run is done."""
+    """Hold the rest of a worker, on trial until a run is done."""
 
     began: float
     until: float
@@ -82,11 +84,13 @@
         """Tell whether the worker gets no new tasks."""
         return worker in self._rests and now < self._rests[worker].until
 
-    def get_penalty(self, worker: str) -> int:
+    def get_penalty(self, worker: str, now: float) -> int:
         """Return its standing among its peers, 0 for good."""
-        if worker in self._rests:
+        rest = self._rests.get(worker)
+        if rest is not None and now < rest.until + SUSPECT_S:
             return 2
-        return int(bool(self._failed.get(worker)))
+        failed = self._failed.get(worker, {})
+        return int(any(now < x.moment + SUSPECT_S for x in failed.values()))
 
     def get_proved(self, worker: str) -> float:
         """Return when the newest run began that ended done, 0 for none."""
--- a/chervilcove/dispatch/placement.py
+++ b/chervilcove/dispatch/placement.py
@@ -6,10 +6,9 @@
 that must share a rack get the rack that they fill best; work goes near its
 data, or waits for it while its objective allows.
 
-Load pattern: workers that fail what they start. One bad member breaks a whole
-gang, and a task that failed once is lost with its job if it fails again, so
-gangs go to workers without failures where they can, and such tasks only there,
-first to those that have lately shown that they work.
+Load pattern: workers that fail what they start. A task that failed once is
+lost with its job if it fails again, so such tasks go only to workers without
+failures, first to those that have lately shown that they work.
 """
 
 from typing import NamedTuple
@@ -52,9 +51,8 @@
             room for room in candidates if room.worker.id in ask.allowed
         ]
     candidates = [room for room in candidates if room.fits(ask.step.need)]
-    sound = [room for room in candidates if not room.penalty]
     if ask.is_careful:
-        candidates = sound
+        candidates = [room for room in candidates if not room.penalty]
     if not candidates:
         return None
     if not ask.step.is_gang:
@@ -63,10 +61,6 @@
             candidates = near or []
         chosen = _fill(candidates, ask)
         return _build(ask, chosen) if chosen else None
-    if len(sound) < len(candidates):
-        placed = _place_gang(sound, ask)
-        if placed is not None:
-            return placed
     return _place_gang(candidates, ask)
 
 
