--- a/chervilcove/control/api.py
+++ b/chervilcove/control/api.py
@@ -163,7 +163,7 @@
             queue=queue.name,
             service=queue.service,
             customer=customer.name if customer else "",
-            accepted_ms=int(time.time() * 1000),
+            accepted_ms=self._follower.clock.get_now_ms(),
             spec=spec,
             priority=queue.priority,
             attempts=queue.attempts,
@@ -244,7 +244,7 @@
             return None
         refusal = self._writer.write(
             records.build_key(records.Kind.CANCEL, job),
-            records.encode_value(int(time.time() * 1000)),
+            records.encode_value(self._follower.clock.get_now_ms()),
             timeout_s=_get_write_timeout_s(time_left_s),
         )
         outcome = "accepted" if refusal is None else refusal.kind.value
@@ -279,17 +279,17 @@
 
     def count_waiting(self, *, queue: str) -> int | errors.Refusal:
         """Return the number of accepted jobs of `queue` that have not begun."""
-        if not self._follower.is_loaded:
+        if not self._follower.is_current:
             return self.log_refusal(_refuse_state_behind(), queue=queue)
         return self._follower.table.count_queued_jobs(
-            queue, int(time.time() * 1000)
+            queue, self._follower.clock.get_now_ms()
         )
 
     def _find_job(self, job: str) -> table.Job | errors.Refusal:
         """Return a job, `GONE` only if it certainly doesn't exist."""
         known = self._follower.table.jobs.get(job)
         if known is None and (
-            not self._follower.is_loaded
+            not self._follower.is_current
             or not self._follower.sync(timeout_s=SYNC_TIMEOUT_S)
         ):
             return self.log_refusal(_refuse_state_behind(), job=job)
--- a/chervilcove/control/core.py
+++ b/chervilcove/control/core.py
@@ -8,6 +8,7 @@
 import xxhash
 
 from chervilcove.control import api
+from chervilcove.control import clocks
 from chervilcove.control import elections
 from chervilcove.control import follower as followers
 from chervilcove.control import interfaces
@@ -45,6 +46,7 @@
         drain_s: Maximum seconds that a stop may take.
         bounds: Times that the deployment guarantees.
         metrics: Metrics of this entry.
+        clock: Time that the entries share; None for a new one.
     """
 
     def __init__(
@@ -60,6 +62,7 @@
         drain_s: float,
         bounds: round_input.ReclaimBounds,
         metrics: metric_values.Metrics,
+        clock: clocks.SharedClock | None = None,
     ):
         self.name = name
         self.incarnation = identifiers.create_id(name)
@@ -77,7 +80,11 @@
         self._connector = connector
         self._owner: owners.Owner | None = None
         self._operator_feed = create_operator_feed(self._wake_owner)
-        self._follower = followers.Follower(ledger=ledger, metrics=metrics)
+        self._follower = followers.Follower(
+            ledger=ledger,
+            clock=clock or clocks.SharedClock(),
+            metrics=metrics,
+        )
         self._writer = writers.CallerWriter(
             ledger=ledger,
             metrics=metrics,
@@ -200,7 +207,7 @@
             return errors.refuse(
                 errors.Kind.UNCONFIGURED, "no configuration was read yet"
             )
-        if not self._follower.is_loaded or (
+        if not self._follower.is_current or (
             self._follower.reachable_since is None
         ):
             return errors.refuse(
--- a/chervilcove/control/elections.py
+++ b/chervilcove/control/elections.py
@@ -81,14 +81,18 @@
         epoch = self._follower.table.epoch
         is_mine = (
             claim is not None
-            and self._follower.is_loaded
             and claim.incarnation == self._incarnation
             and not claim.is_resigned
             and epoch > self._lost_epoch
         )
         if self._epoch is not None and not (is_mine and epoch == self._epoch):
-            self.step_down("newer claim, or ledger reloaded")
-        if is_mine and self._epoch is None and not self._is_leaving:
+            self.step_down("newer claim")
+        if (
+            is_mine
+            and self._epoch is None
+            and not self._is_leaving
+            and self._follower.is_current
+        ):
             self._epoch = epoch
             self._follower.own_epoch = epoch
             self._follower.own_sequence = 0
@@ -136,7 +140,7 @@
         follower = self._follower
         if self._is_leaving or self._epoch is not None:
             return False
-        if not follower.is_loaded or follower.reachable_since is None:
+        if not follower.is_current or follower.reachable_since is None:
             return False
         known = follower.table.incarnations.get(self._name)
         if known != self._incarnation:
--- a/chervilcove/control/follower.py
+++ b/chervilcove/control/follower.py
@@ -6,6 +6,7 @@
 import gevent
 from gevent import event
 
+from chervilcove.control import clocks
 from chervilcove.control import interfaces
 from chervilcove.control import readers
 from chervilcove.core import errors
@@ -38,13 +39,19 @@
 
     Args:
         ledger: The job ledger.
+        clock: Time that the entries share.
         metrics: Metrics of this entry.
     """
 
     def __init__(
-        self, *, ledger: interfaces.Ledger, metrics: metric_values.Metrics
+        self,
+        *,
+        ledger: interfaces.Ledger,
+        clock: clocks.SharedClock,
+        metrics: metric_values.Metrics,
     ):
         super().__init__(name="follower", topic=ledger, timeouts=READ_TIMEOUTS)
+        self.clock = clock
         self._metrics = metrics
         self.table = table.JobTable()
         self.owner_seen_at = 0.0  # monotonic seconds
@@ -107,11 +114,15 @@
             self._watched.wait(timeout=NON_OWNER_PAUSE_S)
 
     def load_snapshot(self, chunk: interfaces.Chunk) -> None:
-        """Rebuild the table from the newest record of each key."""
-        self.table = table.JobTable()
-        self.own_epoch = None
-        self._apply(chunk)
+        """Rebuild the table from the newest record of each key.
+
+        The owner's table already holds all records of its epoch, so that only
+        those of callers and other entries are added to it.
+        """
+        if self.own_epoch is None:
+            self.table = table.JobTable()
         self.is_loaded = True
+        self._apply(chunk, is_live=False)
         self.owner_seen_at = time.monotonic()
         self.log.info(
             "ledger_loaded",
@@ -124,7 +135,7 @@
 
     def apply_appended(self, chunk: interfaces.Chunk) -> None:
         """Apply appended records."""
-        self._apply(chunk)
+        self._apply(chunk, is_live=True)
         if self.own_epoch is None and not self.table.is_owner_gone():
             self._pause_reads()
 
@@ -147,7 +158,7 @@
         """Log that the next records are no longer in the ledger."""
         self.log.warn("ledger_lapsed", offset=self.next_offset)
 
-    def _apply(self, chunk: interfaces.Chunk) -> None:
+    def _apply(self, chunk: interfaces.Chunk, *, is_live: bool) -> None:
         for one in chunk.records:
             record = records.decode(one.key, one.value)
             if errors.is_refusal(record):
@@ -162,6 +173,8 @@
                 continue
             if record.kind is records.Kind.BEAT and record.value is not None:
                 self._record_heartbeat(record.value)
+            if record.kind is records.Kind.TIME:
+                self._record_owner_time(record.value, is_live=is_live)
             self.table.apply(record)
         self.next_offset = chunk.next_offset
         if chunk.records:
@@ -169,6 +182,14 @@
             self._advanced.clear()
             self._notify_listeners()
 
+    def _record_owner_time(
+        self, owner_ms: int | None, *, is_live: bool
+    ) -> None:
+        if owner_ms is not None and self.own_epoch is None:
+            self.clock.record_owner_time(
+                owner_ms, is_live=is_live and self.is_current
+            )
+
     def _record_heartbeat(self, beat: records.OwnerHeartbeat) -> None:
         if beat.epoch == self.own_epoch:
             self.own_sequence = max(self.own_sequence, beat.sequence)
--- a/chervilcove/control/interfaces.py
+++ b/chervilcove/control/interfaces.py
@@ -23,7 +23,8 @@
     Attributes:
         records: Records in the order of their offsets.
         next_offset: Offset to continue reading from.
-        end_offset: End of the ledger at the time of the read.
+        end_offset: End of the ledger at the time of the read; of the last
+            page if the records come in several.
     """
 
     records: list[KeyedRecord]
--- a/chervilcove/control/operator_pages.py
+++ b/chervilcove/control/operator_pages.py
@@ -1,7 +1,6 @@
 """Pages for operators: metrics, status and the history of a job."""
 
 from collections.abc import Callable
-import time
 from typing import Any
 
 from chervilcove.control import follower as followers
@@ -110,7 +109,7 @@
             workers = ",".join(place.worker for place in unit.places)
             history.append(
                 _build_history_event(
-                    time.time(),
+                    self._follower.clock.get_now_ms() / 1000,
                     table.UnitStatus(unit.status).name.lower(),
                     key.format(),
                     f"run={unit.run} failed={len(unit.failed)} "
@@ -125,7 +124,7 @@
             "job": job.id,
             "history": history,
             "state": job.get_state().value,
-            "wait": _describe_wait(job),
+            "wait": _describe_wait(job, self._follower.clock.get_now_ms()),
         }
 
 
@@ -141,11 +140,11 @@
     }
 
 
-def _describe_wait(job: table.Job) -> dict[str, str] | None:
+def _describe_wait(job: table.Job, now_ms: int) -> dict[str, str] | None:
     """Describe the first waiting step; the owner's log tells the cause."""
     if job.end is not None or job.is_cancelled:
         return None
-    for occurrence, number in job.list_ready_steps(int(time.time() * 1000)):
+    for occurrence, number in job.list_ready_steps(now_ms):
         count = job.count_waiting_units(occurrence, number)
         if count:
             need = ",".join(str(x) for x in job.spec.steps[number].need)
--- a/chervilcove/control/owners.py
+++ b/chervilcove/control/owners.py
@@ -13,6 +13,7 @@
 import gevent
 from gevent import event
 
+from chervilcove.control import clocks
 from chervilcove.control import commands
 from chervilcove.control import estimates
 from chervilcove.control import fleet as fleets
@@ -79,6 +80,8 @@
         self.epoch = epoch
         self._follower = follower
         self._table = follower.table
+        self._clock = follower.clock
+        self._clock.begin_steering()
         self._get_operator_state = get_operator_state
         self._metrics = metrics
         self._on_deposed = on_deposed
@@ -95,6 +98,7 @@
         self.writer = writers.OwnerWriter(
             ledger=ledger,
             epoch=epoch,
+            clock=self._clock,
             on_deposed=on_deposed,
             metrics=metrics,
         )
@@ -210,6 +214,7 @@
             members=members,
             checkpoint=unit.checkpoint,
         )
+        run.is_adopted = phase is runs.Phase.KNOWN
         self._runs[key] = run
         return run
 
@@ -227,7 +232,7 @@
 
     def _may_renew(self) -> bool:
         silence_s = (
-            writers.read_boot_clock_s() - self.writer.stored_append_sent_at
+            clocks.read_boot_clock_s() - self.writer.stored_append_sent_at
         )
         return silence_s < sessions.LEASE_WITHOUT_LEDGER_S
 
@@ -330,6 +335,8 @@
         if member.phase is runs.Phase.ORDERED:
             member.phase = runs.Phase.KNOWN
             member.changed_at = time.monotonic()
+        if run.is_adopted and not member.percent:
+            run.estimate_start(row.percent, self._estimate_duration_s(run))
         member.progress.add(time.monotonic(), row.percent)
         member.percent = row.percent
         member.load = row.load
@@ -396,7 +403,7 @@
         if outcome == "done":
             self.fleet.health.record_success(worker, run.started)
             job = self._table.jobs.get(run.key.job)
-            if job is not None and run.number == 1:
+            if job is not None and run.number == 1 and not run.is_adopted:
                 self._estimates.record_duration(
                     job, run.key.step, time.monotonic() - run.started
                 )
@@ -585,7 +592,7 @@
             state = table.JobState.DONE
         keys = [key.format() for key in job.units]
         end = records.EndRecord(
-            self.epoch, state.value, int(time.time() * 1000)
+            self.epoch, state.value, self._clock.get_now_ms()
         )
         self._write_record(records.Kind.END, job.id, end)
         for name in keys:
@@ -604,7 +611,7 @@
 
     def _purge_expired(self) -> None:
         """Purge long-ended jobs and past delays; log the longest waits."""
-        now_ms = int(time.time() * 1000)
+        now_ms = self._clock.get_now_ms()
         for job in list(self._table.jobs.values()):
             if job.end and now_ms - job.end.ended_ms > ENDED_JOB_RETENTION_MS:
                 for kind in (
@@ -645,7 +652,7 @@
         self._grants.set_waiting_steps(self._list_steps_needing_grants(jobs))
         plan = rounds.plan_round(
             round_input.RoundInput(
-                now_ms=int(time.time() * 1000),
+                now_ms=self._clock.get_now_ms(),
                 jobs=jobs,
                 get_queue=self._get_queue,
                 customers=operations.configuration.customers,
@@ -688,7 +695,7 @@
         self, jobs: list[table.Job]
     ) -> list[grants.WaitingStep]:
         """Return waiting steps that need grants, by priority, then age."""
-        now_ms = int(time.time() * 1000)
+        now_ms = self._clock.get_now_ms()
         found = []
         for job in jobs:
             queue = self._get_queue(job)
@@ -716,11 +723,10 @@
             if member.phase is not runs.Phase.ENDED
         ]
         run_s = now - run.started
-        factor = self._estimates.factors.get(queue.name, 1.0)
         known = [member.progress.estimate_remaining_s() for member in alive]
         left_s = max(
             (one for one in known if one is not None),
-            default=max(0.2, step.estimate_ms * factor / 1000 - run_s),
+            default=max(0.2, self._estimate_duration_s(run) - run_s),
         )
         return round_input.RunningUnit(
             allocation=resource_values.Allocation(
@@ -735,6 +741,11 @@
             remaining_s=float("inf") if step.is_lasting else left_s,
         )
 
+    def _estimate_duration_s(self, run: runs.Run) -> float:
+        queue = self._table.jobs[run.key.job].submission.queue
+        factor = self._estimates.factors.get(queue, 1.0)
+        return self._get_step(run.key).estimate_ms * factor / 1000
+
     def _start_run(self, start: rounds.Start) -> None:
         job = self._table.jobs[start.unit.job]
         before = job.get_unit(start.unit)
--- a/chervilcove/control/readers.py
+++ b/chervilcove/control/readers.py
@@ -48,10 +48,23 @@
         self._timeouts = timeouts
         self.next_offset = 0
         self.is_loaded = False
+        # End of the topic at the last page of the snapshot, and the offsets of
+        # records in it that are newer than its first page, by key.
+        self._snapshot_end = 0
+        self._newer_offsets: dict[str, int] = {}
         # Monotonic seconds.
         self.last_read = 0.0
         self.reachable_since: float | None = None
 
+    @property
+    def is_current(self) -> bool:
+        """Tell whether all records as old as the snapshot were applied.
+
+        Its pages are read one after the other. What was appended meanwhile to
+        keys of earlier pages follows with the appended records.
+        """
+        return self.is_loaded and self.next_offset >= self._snapshot_end
+
     def run(self) -> None:
         """Read the topic until stopped."""
         while not self.is_stopping:
@@ -62,9 +75,15 @@
                 continue
             self._handle_success()
             if is_whole:
+                self._snapshot_end = chunk.end_offset
+                self._newer_offsets = {
+                    one.key: one.offset
+                    for one in chunk.records
+                    if one.offset >= chunk.next_offset
+                }
                 self.load_snapshot(chunk)
             else:
-                self.apply_appended(chunk)
+                self.apply_appended(self._drop_superseded(chunk))
 
     @abc.abstractmethod
     def load_snapshot(self, chunk: interfaces.Chunk) -> None:
@@ -99,6 +118,19 @@
             else self._timeouts.answer_s,
         )
 
+    def _drop_superseded(self, chunk: interfaces.Chunk) -> interfaces.Chunk:
+        """Leave out records older than those of the snapshot."""
+        if not self._newer_offsets:
+            return chunk
+        kept = [
+            one
+            for one in chunk.records
+            if one.offset >= self._newer_offsets.get(one.key, 0)
+        ]
+        if chunk.next_offset >= self._snapshot_end:
+            self._newer_offsets = {}
+        return chunk._replace(records=kept)
+
     def _handle_success(self) -> None:
         now = time.monotonic()
         if self.reachable_since is None:
--- a/chervilcove/control/runs.py
+++ b/chervilcove/control/runs.py
@@ -75,6 +75,8 @@
         stop_reason: Why the run is being stopped, empty while it is not.
         is_recorded_done: Whether the unit was recorded as done.
         started: Monotonic seconds of the start.
+        is_adopted: Whether an earlier owner started it, so that its start is
+            only estimated.
         tickets: Tickets that the queue's policy granted, by worker.
     """
 
@@ -94,6 +96,7 @@
         self.stop_reason = ""
         self.is_recorded_done = False
         self.started = time.monotonic()
+        self.is_adopted = False
         self.tickets: dict[str, str] = {}
 
     @property
@@ -101,6 +104,16 @@
         """Tell whether no task runs or can still start."""
         return all(one.phase is Phase.ENDED for one in self.members)
 
+    def estimate_start(self, percent: float, duration_s: float) -> None:
+        """Move the start of an adopted run back, as its progress suggests.
+
+        Args:
+            percent: Progress of one of its tasks.
+            duration_s: Expected duration of the run.
+        """
+        ran_s = duration_s * percent / 100
+        self.started = min(self.started, time.monotonic() - ran_s)
+
     def find_member(self, task: str, worker: str) -> Member | None:
         """Return the member for `task` on `worker`, None if there is none."""
         for member in self.members:
--- a/chervilcove/control/writers.py
+++ b/chervilcove/control/writers.py
@@ -12,6 +12,7 @@
 import gevent
 from gevent import event
 
+from chervilcove.control import clocks
 from chervilcove.control import interfaces
 from chervilcove.core import errors
 from chervilcove.core import metrics as metric_values
@@ -30,11 +31,7 @@
 FASTER_ANSWER_WEIGHT = 0.3
 RETRY_S = 0.1  # pause after a failed append
 HEARTBEAT_INTERVAL_S = 0.2  # of an idle owner; see `elections.OWNER_TIMEOUT_S`
-
-
-def read_boot_clock_s() -> float:
-    """Return a monotonic clock that includes time in suspension."""
-    return time.clock_gettime(time.CLOCK_BOOTTIME)
+TIME_INTERVAL_S = 1.0  # between records of the owner's time
 
 
 class AppendTimeouts:
@@ -228,6 +225,7 @@
     Args:
         ledger: The job ledger.
         epoch: Epoch of the owner.
+        clock: Time that the entries share.
         on_deposed: Called with a reason once a newer owner is known.
         metrics: Metrics of this entry.
     """
@@ -237,6 +235,7 @@
         *,
         ledger: interfaces.Ledger,
         epoch: int,
+        clock: clocks.SharedClock,
         on_deposed: Callable[[str], None],
         metrics: metric_values.Metrics,
     ):
@@ -247,15 +246,17 @@
         self._sequence = 1
         self._read_back = 0  # newest sequence number read back
         self._is_read_back = event.Event()
+        self._clock = clock
+        self._time_written_at = float("-inf")  # on the boot clock
         self._on_deposed = on_deposed
         self._metrics = metrics
         self._timeouts = AppendTimeouts()
         self._waiting: list[OwnerItem] = []
         self._wake = event.Event()
-        # Time, by `read_boot_clock_s`, at which the newest stored append was
-        # first sent. Counting from the answer would let an owner that reads it
-        # late, as after a suspension, renew leases for too long.
-        self.stored_append_sent_at = read_boot_clock_s()
+        # Time, on the boot clock, at which the newest stored append was first
+        # sent. Counting from the answer would let an owner that reads it late,
+        # as after a suspension, renew leases for too long.
+        self.stored_append_sent_at = clocks.read_boot_clock_s()
 
     @property
     def backlog(self) -> int:
@@ -315,13 +316,14 @@
         beat = records.OwnerHeartbeat(self._epoch, self._sequence)
         items = [
             *((item.key, item.value) for item in batch),
+            *self._build_time_record(),
             (
                 records.build_key(records.Kind.BEAT),
                 records.encode_value(beat),
             ),
         ]
         losses = 0
-        first_sent = read_boot_clock_s()
+        first_sent = clocks.read_boot_clock_s()
         while not self.is_stopping:
             began = time.monotonic()
             outcome = self._append_once(
@@ -345,6 +347,16 @@
             self.sleep(RETRY_S)
         return False
 
+    def _build_time_record(self) -> list[tuple[str, bytes]]:
+        """Return the record of the owner's time, if it is to be written."""
+        now_s = clocks.read_boot_clock_s()
+        if now_s - self._time_written_at < TIME_INTERVAL_S:
+            return []
+        self._time_written_at = now_s
+        self._clock.steer()
+        value = records.encode_value(self._clock.get_now_ms())
+        return [(records.build_key(records.Kind.TIME), value)]
+
     def _append_once(
         self, items: list[tuple[str, bytes]], timeout_s: float
     ) -> int | None | errors.Refusal:
--- a/chervilcove/jobs/records.py
+++ b/chervilcove/jobs/records.py
@@ -3,7 +3,8 @@
 Only the newest record of a key counts. JOB and CANCEL records are written by
 the entry that answers the caller. UNIT, END and BEAT records are written by
 the owner and carry its epoch. A CLAIM record makes its writer the owner. An
-ENTRY record announces the incarnation of an entry that has started.
+ENTRY record announces the incarnation of an entry that has started. A TIME
+record holds the owner's time of day.
 """
 
 import enum
@@ -30,6 +31,7 @@
     ENTRY = "n"
     CLAIM = "owner"
     BEAT = "beat"
+    TIME = "time"
 
 
 OWNER_KINDS = frozenset((Kind.UNIT, Kind.END, Kind.CLAIM, Kind.BEAT))
@@ -171,6 +173,7 @@
     Kind.END: EndRecord,
     Kind.CLAIM: Claim,
     Kind.BEAT: OwnerHeartbeat,
+    Kind.TIME: int,
 }
 
 
--- a/chervilcove/platform/store.py
+++ b/chervilcove/platform/store.py
@@ -23,6 +23,7 @@
 MAX_READ_KB = 1024  # as the default of the store
 # Ends a snapshot read whose pages never end. A page has up to 500 keys.
 MAX_SNAPSHOT_PAGES = 1_000
+PAGE_TRIES = 3  # for each page of a snapshot
 OWNER_PRODUCER = "owner"
 PARTITION = 0
 
@@ -160,10 +161,13 @@
         from the end offset of the first page and so gets all changes since.
         """
         records: list[interfaces.KeyedRecord] = []
-        end_offset: int | None = None
+        first_end: int | None = None
+        last_end = 0
         query: dict[str, Any] = {"topic": self._topic, "part": PARTITION}
         for _ in range(MAX_SNAPSHOT_PAGES):
-            reply = self._call("GET", "/log-newest", query, timeout_s=timeout_s)
+            reply = self._call_again(
+                "GET", "/log-newest", query, timeout_s=timeout_s
+            )
             if errors.is_refusal(reply):
                 return reply
             if reply.status != 200:
@@ -171,8 +175,9 @@
             page = decode(reply.body, _Page)
             if errors.is_refusal(page):
                 return page
-            if end_offset is None:
-                end_offset = page.end_offset
+            if first_end is None:
+                first_end = page.end_offset
+            last_end = max(last_end, page.end_offset)
             records += [
                 interfaces.KeyedRecord(
                     item.offset, item.key, base64.b64decode(item.value or "")
@@ -183,7 +188,27 @@
                 break
             query["after"] = page.items[-1].key
         records.sort()
-        return interfaces.Chunk(records, end_offset or 0, end_offset or 0)
+        return interfaces.Chunk(records, first_end or 0, last_end)
+
+    def _call_again(
+        self, method: str, path: str, query: dict[str, Any], *, timeout_s: float
+    ) -> http.Reply | errors.Refusal:
+        """Call, and repeat a call whose answer is lost.
+
+        While part of the answers are lost, a snapshot of many pages would
+        otherwise hardly ever be complete.
+        """
+        reply: http.Reply | errors.Refusal = errors.refuse(
+            errors.Kind.OUTCOME_UNKNOWN, "not called"
+        )
+        for _ in range(PAGE_TRIES):
+            reply = self._call(method, path, query, timeout_s=timeout_s)
+            if (
+                not errors.is_refusal(reply)
+                or reply.kind is not errors.Kind.OUTCOME_UNKNOWN
+            ):
+                return reply
+        return reply
 
     def _call(
         self,
--- a/tests/control/system.py
+++ b/tests/control/system.py
@@ -68,7 +68,7 @@
         self.operator_feed = MemoryOperatorFeed()
         self.entries = []
 
-    def add_entry(self, name):
+    def add_entry(self, name, *, clock=None):
         entry = core.FleetEntry(
             name=name,
             ledger=self.ledger,
@@ -80,6 +80,7 @@
             drain_s=3.0,
             bounds=round_input.ReclaimBounds(),
             metrics=metric_values.Metrics(),
+            clock=clock,
         )
         self.entries.append(entry)
         entry.start()
--- a/tests/control/test_owners.py
+++ b/tests/control/test_owners.py
@@ -199,6 +199,43 @@
         )
         assert system.list_starts() == [(TASK, 1)]
 
+    def test_successor_learns_no_durations_from_adopted_runs(self, system):
+        # In incident inc-3233, the ends of 17 adopted runs within 0.1 s taught
+        # the successor that work takes a tenth of what is declared. Waiting
+        # jobs then ranked as too late to earn anything.
+        entry = system.add_entry("a")
+        system.submit(entry, JOB, systems.build_spec())
+        worker = system.wait_for_run(TASK)
+        entry.kill()
+        other = system.add_entry("b")
+        systems.wait_until(lambda: other._owner is not None)
+        worker.end(TASK, "done")
+        systems.wait_until(
+            lambda: other.job_api.get_job_state(job=JOB) is table.JobState.DONE
+        )
+        assert other._owner._estimates.factors == {}
+
+    def test_successor_estimates_how_long_adopted_runs_have_run(self, system):
+        # Preemption takes what has run for the shortest time. A successor that
+        # counts from its own start stops work that is almost done.
+        entry = system.add_entry("a")
+        system.submit(entry, JOB, systems.build_spec(estimate_ms=10_000))
+        worker = system.wait_for_run(TASK)
+        worker.percent_per_s = 200.0
+        entry.kill()
+        gevent.sleep(0.5)
+        other = system.add_entry("b")
+        systems.wait_until(lambda: other._owner is not None)
+        owner = other._owner
+        run = systems.wait_until(
+            lambda: next(
+                (one for one in owner._runs.values() if one.members[0].percent),
+                None,
+            )
+        )
+        ran_s = owner._describe_run(run, time.monotonic()).run_s
+        assert 8.0 < ran_s < 11.0
+
     def test_end_that_was_not_stored_is_reported_again(self, system):
         entry = system.add_entry("a")
         system.submit(entry, JOB, systems.build_spec())
--- a/tests/control/test_writers.py
+++ b/tests/control/test_writers.py
@@ -1,6 +1,7 @@
 import gevent
 import pytest
 
+from chervilcove.control import clocks
 from chervilcove.control import interfaces
 from chervilcove.control import writers
 from chervilcove.core import errors
@@ -55,6 +56,7 @@
         writers.OwnerWriter,
         ledger,
         epoch=1,
+        clock=clocks.SharedClock(),
         on_deposed=lambda reason: None,
     )
 
@@ -119,7 +121,7 @@
         # reads the answer after a successor has claimed. Counted from the
         # answer, it would renew leases for too long.
         moment = [100.0]
-        monkeypatch.setattr(writers, "read_boot_clock_s", lambda: moment[0])
+        monkeypatch.setattr(clocks, "read_boot_clock_s", lambda: moment[0])
         ledger = LossyLedger()
         append = ledger.append
 
