Carried preemptions through until their gang starts.

Cause: each round searched anew for what an urgent gang stops, and nothing held the workers that were being emptied for it.

Change: a preemption has a life, from the decision until the start, or until it is given up for a reason that is logged. Its workers are held; what ends within 0.3 s is awaited instead of stopped; a unit that was stopped before costs more. A gang for one rack gets the rack that costs least as a whole. What may be lost is counted in the job's own core-seconds, no price of one deployment. Gangs use up racks in use first.

--- a/chervilcove/control/owners.py
+++ b/chervilcove/control/owners.py
@@ -7,7 +7,9 @@
 they carry a lower epoch.
 """
 
+import collections
 from collections.abc import Callable
+from collections.abc import Mapping
 import time
 
 import gevent
@@ -42,6 +44,9 @@
 # Callers may ask about an ended job for 120 s.
 ENDED_JOB_RETENTION_MS = 150_000
 PURGE_INTERVAL_S = 5.0
+# Remaining time of a run that shows no progress and is overdue. The end of such
+# a run isn't near enough for a preemption to wait for it.
+MIN_REMAINING_S = 0.5
 
 
 class Owner(tasks.Task):
@@ -90,6 +95,12 @@
         self._restart_after: dict[table.UnitKey, float] = {}
         self._estimates = estimates.Estimates()
         self._due_since: dict[tuple[str, int, int], int] = {}
+        self._preemptions: Mapping[
+            tuple[str, int, int], round_input.Preemption
+        ] = {}
+        self._stop_counts: collections.Counter[table.UnitKey] = (
+            collections.Counter()
+        )
         self._headroom_log = wait_log.HeadroomLog(log=self.log)
         self._new_renewals: list[sessions.Renewal] = []
         self._new_reports: dict[str, interfaces.WorkerReport] | None = None
@@ -590,6 +601,8 @@
         state = job.get_state()
         if job.is_done():
             state = table.JobState.DONE
+        for key in job.units:
+            self._stop_counts.pop(key, None)
         keys = [key.format() for key in job.units]
         end = records.EndRecord(
             self.epoch, state.value, self._clock.get_now_ms()
@@ -670,9 +683,17 @@
                 bounds=self._bounds,
                 urgent=self._estimates.urgent,
                 start_due_since=self._due_since,
+                preemptions=self._preemptions,
             )
         )
         self._due_since = plan.start_due_since
+        self._preemptions = plan.preemptions
+        for abandonment in plan.abandoned:
+            self.log.info(
+                "preemption_abandoned",
+                job=abandonment.step_key[0],
+                reason=abandonment.reason,
+            )
         self._headroom_log.record(
             plan.headroom, arrivals=len(self._estimates.urgent)
         )
@@ -687,6 +708,7 @@
                 job=stop.beneficiary,
                 loss=round(stop.loss, 1),
             )
+            self._stop_counts[stop.unit] += 1
             self._commands.stop(run, f"preempted by {stop.beneficiary}")
         for start in plan.starts:
             self._start_run(start)
@@ -726,7 +748,9 @@
         known = [member.progress.estimate_remaining_s() for member in alive]
         left_s = max(
             (one for one in known if one is not None),
-            default=max(0.2, self._estimate_duration_s(run) - run_s),
+            default=max(
+                MIN_REMAINING_S, self._estimate_duration_s(run) - run_s
+            ),
         )
         return round_input.RunningUnit(
             allocation=resource_values.Allocation(
@@ -739,6 +763,7 @@
             is_resumable=step.is_checkpointed,
             run_s=run_s,
             remaining_s=float("inf") if step.is_lasting else left_s,
+            stop_count=self._stop_counts.get(run.key, 0),
         )
 
     def _estimate_duration_s(self, run: runs.Run) -> float:
--- a/chervilcove/dispatch/placement.py
+++ b/chervilcove/dispatch/placement.py
@@ -3,15 +3,16 @@
 Tasks of 1 to 8 accelerators share a pool that is two thirds full. Small tasks
 spread over idle workers would leave no whole worker for a task of 8, so
 placement is best fit: a task goes where the least is left free, and untouched
-workers come last. A gang that must share a rack gets the rack that it fills
-best. A step with a data rack is placed there, or waits for it while its
-objective allows.
+workers come last, for gangs those of untouched racks. A gang that must share a
+rack gets the rack that it fills best. A step with a data rack is placed there,
+or waits for it while its objective allows.
 
 Some workers fail what they start. A task that has failed once is lost with its
 job if it fails again, so it is placed on workers without failures only, first
 on those where a run succeeded most recently.
 """
 
+import collections
 from typing import NamedTuple
 
 from chervilcove.dispatch import resources as resource_values
@@ -49,22 +50,28 @@
     A gang gets workers for all of its tasks or none. For other steps as many
     tasks as fit are placed.
     """
-    candidates = resources.list_schedulable(request.service, request.step.label)
-    if request.allowed is not None:
-        candidates = [
-            candidate
-            for candidate in candidates
-            if candidate.worker.id in request.allowed
-        ]
-    candidates = [
-        candidate
-        for candidate in candidates
-        if candidate.fits(request.step.need)
+    return place_among(list_eligible(resources, request), request)
+
+
+def list_eligible(
+    resources: resource_values.FleetResources, request: PlacementRequest
+) -> list[resource_values.WorkerResources]:
+    """Return the workers that the request may use, whether they fit or not."""
+    return [
+        one
+        for one in resources.list_schedulable(
+            request.service, request.step.label
+        )
+        if (request.allowed is None or one.worker.id in request.allowed)
+        and not (request.requires_healthy and one.penalty)
     ]
-    if request.requires_healthy:
-        candidates = [
-            candidate for candidate in candidates if not candidate.penalty
-        ]
+
+
+def place_among(
+    eligible: list[resource_values.WorkerResources], request: PlacementRequest
+) -> resource_values.Allocation | None:
+    """Like `place`, on some of the workers that `list_eligible` returns."""
+    candidates = [one for one in eligible if one.fits(request.step.need)]
     if not candidates:
         return None
     if not request.step.is_gang:
@@ -112,6 +119,9 @@
     need = request.step.need
     chosen: list[str] = []
     data_rack = request.step.data_rack
+    idle_counts = collections.Counter(
+        one.worker.rack for one in candidates if one.is_idle
+    )
     ordered = sorted(
         candidates,
         key=lambda candidate: (
@@ -119,6 +129,11 @@
             candidate.penalty,
             -candidate.last_success_start if request.requires_healthy else 0.0,
             candidate.accelerators - need.accelerators,
+            # Gangs use up racks that are in use already, so that whole ones
+            # remain for those that must share one.
+            idle_counts[candidate.worker.rack]
+            if candidate.is_idle and request.step.is_gang
+            else 0,
             candidate.cpu,
             candidate.worker.id,
         ),
@@ -149,15 +164,21 @@
     candidate: resource_values.WorkerResources, request: PlacementRequest
 ) -> int:
     """Return how many of the requested tasks fit on a worker."""
-    limit = request.count
-    if request.step.most_per_worker:
-        running = candidate.tasks.get(request.step_key, 0)
-        limit = min(limit, request.step.most_per_worker - running)
     return resource_values.count_fitting(
-        candidate.free, request.step.need, limit
+        candidate.free, request.step.need, limit_tasks(candidate, request)
     )
 
 
+def limit_tasks(
+    candidate: resource_values.WorkerResources, request: PlacementRequest
+) -> int:
+    """Return how many of the tasks may share a worker, whether they fit."""
+    if not request.step.most_per_worker:
+        return request.count
+    running = candidate.tasks.get(request.step_key, 0)
+    return max(0, min(request.count, request.step.most_per_worker - running))
+
+
 def _filter_by_rack(
     candidates: list[resource_values.WorkerResources], rack: str
 ) -> list[resource_values.WorkerResources]:
--- a/chervilcove/dispatch/resources.py
+++ b/chervilcove/dispatch/resources.py
@@ -57,6 +57,11 @@
         """Return the free resources, negative where they are overdrawn."""
         return specs.Resources(self.cpu, self.memory_mb, self.accelerators)
 
+    @property
+    def is_idle(self) -> bool:
+        """Tell whether the worker has no task with accelerators."""
+        return self.accelerators == self.worker.capacity.accelerators
+
     def fits(self, need: specs.Resources) -> bool:
         """Return whether one more task with `need` fits."""
         return (
@@ -154,10 +159,11 @@
     free: specs.Resources, need: specs.Resources, limit: int
 ) -> int:
     """Return how many tasks with `need` fit into `free`, at most `limit`."""
-    counts = [
-        total // each for total, each in zip(free, need, strict=True) if each
-    ]
-    return max(0, min([limit, *counts]))
+    count = limit
+    for total, each in zip(free, need, strict=True):
+        if each and total < each * count:
+            count = total // each
+    return max(0, count)
 
 
 def group_by_rack(
--- a/chervilcove/dispatch/round_input.py
+++ b/chervilcove/dispatch/round_input.py
@@ -27,6 +27,7 @@
             loses almost no work.
         run_s: Seconds for which it has run.
         remaining_s: Estimated seconds to its end; infinity for lasting tasks.
+        stop_count: How often the unit was preempted before.
     """
 
     allocation: resource_values.Allocation
@@ -35,6 +36,7 @@
     is_resumable: bool
     run_s: float
     remaining_s: float
+    stop_count: int = 0
 
     def compute_loss(self) -> float:
         """Return the core-seconds of work lost if it is stopped now."""
@@ -43,6 +45,20 @@
         return lost_s * cores * len(self.allocation.workers)
 
 
+class Preemption(NamedTuple):
+    """A decision to empty workers for a gang, which lasts until it starts.
+
+    Attributes:
+        allocation: The workers, one for each task of the gang.
+        victims: Units that are stopped for it, or should end soon.
+        since_ms: Time of the decision, Unix milliseconds.
+    """
+
+    allocation: resource_values.Allocation
+    victims: tuple[table.UnitKey, ...]
+    since_ms: int
+
+
 class ReclaimBounds(NamedTuple):
     """Time limits that the deployment promises for guaranteed work.
 
@@ -73,6 +89,7 @@
         bounds: Time limits that the deployment promises.
         urgent: Recent urgent arrivals.
         start_due_since: `Plan.start_due_since` of the previous round.
+        preemptions: `Plan.preemptions` of the previous round.
     """
 
     now_ms: int
@@ -90,6 +107,9 @@
     start_due_since: Mapping[tuple[str, int, int], int] = (
         types.MappingProxyType({})
     )
+    preemptions: Mapping[tuple[str, int, int], Preemption] = (
+        types.MappingProxyType({})
+    )
 
 
 def count_core_equivalents(need: specs.Resources) -> float:
--- a/chervilcove/dispatch/rounds.py
+++ b/chervilcove/dispatch/rounds.py
@@ -5,7 +5,10 @@
 and carries it out.
 """
 
+from collections.abc import Mapping
+from collections.abc import Sequence
 import itertools
+import types
 from typing import NamedTuple
 
 from chervilcove.dispatch import delay_scheduling
@@ -16,16 +19,9 @@
 from chervilcove.dispatch import ranking
 from chervilcove.dispatch import resources as resource_values
 from chervilcove.dispatch import round_input
+from chervilcove.dispatch import victims
 from chervilcove.jobs import table
 
-# Most work that may be discarded for an urgent job of mean size. At the price
-# of 0.0023 a core-second, it costs a third of what the job earns more by ending
-# in time. More is discarded only if a guarantee would otherwise be broken.
-MAX_LOST_CORE_SECONDS = 450.0
-# Value of a job against the mean of its queue, from its work against the mean:
-# the base for a job without work, and the upper bound, by the payoff rules.
-BASE_JOB_VALUE = 0.3
-MAX_JOB_VALUE = 4.0
 # Share of its slack that a step uses up before workers are reserved for it.
 RESERVE_AFTER_SHARE = 0.4
 # Steps with reserved workers at a time; bounds the idle workers.
@@ -55,20 +51,6 @@
     waited_ms: float
 
 
-class Stop(NamedTuple):
-    """Decision to stop a run for the sake of another job.
-
-    Attributes:
-        unit: The unit to stop.
-        beneficiary: Id of the job that gets the resources.
-        loss: Core-seconds of work lost.
-    """
-
-    unit: table.UnitKey
-    beneficiary: str
-    loss: float
-
-
 class Plan(NamedTuple):
     """Decisions of a round.
 
@@ -79,12 +61,19 @@
             milliseconds, by step key: there is room for them, but not on the
             workers that they prefer. Input of the next round.
         headroom: Allocation kept free for urgent work, None for none.
+        preemptions: Preemptions that go on, by step key. Input of the next
+            round.
+        abandoned: Preemptions that were given up.
     """
 
     starts: list[Start]
-    stops: list[Stop]
+    stops: list[victims.Stop]
     start_due_since: dict[tuple[str, int, int], int]
     headroom: resource_values.Allocation | None = None
+    preemptions: Mapping[tuple[str, int, int], round_input.Preemption] = (
+        types.MappingProxyType({})
+    )
+    abandoned: Sequence[preemption.Abandonment] = ()
 
 
 def plan_round(inputs: round_input.RoundInput) -> Plan:
@@ -104,12 +93,12 @@
         self._inputs = inputs
         self._allocated: list[resource_values.Allocation] = []
         self._starts: list[Start] = []
-        self._stops: list[Stop] = []
-        self._stopped: set[table.UnitKey] = set()
+        self._victims = victims.VictimSearch(inputs)
         self._reservations = 0
         self._headroom: resource_values.Allocation | None = None
         self._pending = pending_steps.list_pending_steps(inputs)
         self._delays = delay_scheduling.DelayScheduler(inputs, self._pending)
+        self._preemptions = preemption.Preemptions(inputs, self._pending)
 
     def run(self) -> Plan:
         """Return the plan."""
@@ -124,13 +113,16 @@
         finally:
             if self._headroom is not None:
                 self._inputs.resources.release(self._headroom)
+            self._preemptions.release_all()
             for allocation in self._allocated:
                 self._inputs.resources.release(allocation)
         return Plan(
             self._starts,
-            self._stops,
+            self._victims.stops,
             self._delays.start_due_since,
             self._headroom,
+            self._preemptions.active,
+            tuple(self._preemptions.abandoned),
         )
 
     def _reserve_headroom(self) -> None:
@@ -207,7 +199,14 @@
             allowed=allowed,
             requires_healthy=requires_healthy,
         )
-        allocation = placement.place(self._inputs.resources, request)
+        held = self._preemptions.remove(pending.step_key)
+        if held is not None and is_gang:
+            allocation = self._preemptions.place(pending, held, request)
+            if allocation is None:
+                self._preemptions.add(pending.step_key, held)
+                return
+        else:
+            allocation = placement.place(self._inputs.resources, request)
         if allocation is not None:
             self._start(pending, units, allocation)
             missing = 0 if is_gang else len(units) - len(allocation.workers)
@@ -247,68 +246,25 @@
     ) -> None:
         """Stop units to make room for a step.
 
-        Units that are stopping already cost nothing; the workers that they
-        free stay reserved for the step.
-
         A preemption that gets a gang its rack stops single tasks only. Since
         single tasks never preempt for a rack, no two units stop each other in
         turn.
         """
-        candidates = sorted(
-            (
-                preemption.ReleaseCandidate(
-                    unit,
-                    running.allocation,
-                    0.0 if self._is_stopping(unit) else running.compute_loss(),
-                )
-                for unit, running in self._inputs.running.items()
-                if self._is_stopping(unit)
-                or not (
-                    running.is_urgent
-                    or self._is_lasting(unit)
-                    or (is_for_rack and len(running.allocation.workers) > 1)
-                )
-            ),
-            key=lambda candidate: (candidate.cost, candidate.unit.format()),
-        )
-        found = preemption.find_release_plan(
-            self._inputs.resources, request, candidates
-        )
+        found = self._victims.find(pending, request, is_for_rack=is_for_rack)
         if found is None:
             return
-        loss = sum(release.cost for release in found.releases)
-        if is_for_rack:
-            # On several racks the gang takes three times as long, so it would
-            # use up its declared work twice more.
-            max_loss = pending_steps.compute_declared_work(pending.job.spec)
-        else:
-            max_loss = MAX_LOST_CORE_SECONDS * self._compute_value(pending)
-        if loss > max_loss and not self._must_start_now(pending):
+        self._victims.stop(found.releases, pending.job.id)
+        if not request.step.is_gang:
+            self._allocate(found.allocation)
             return
-        for release in found.releases:
-            if not self._is_stopping(release.unit):
-                self._stopped.add(release.unit)
-                self._stops.append(
-                    Stop(release.unit, pending.job.id, release.cost)
-                )
-        self._allocate(found.allocation)
-
-    def _compute_value(self, pending: pending_steps.PendingStep) -> float:
-        """Return the value of a job against the mean of its queue."""
-        mean = self._inputs.mean_work.get(pending.queue.name, 0.0)
-        if mean <= 0.0:
-            return 1.0
-        share = pending_steps.compute_declared_work(pending.job.spec) / mean
-        return min(BASE_JOB_VALUE + (1 - BASE_JOB_VALUE) * share, MAX_JOB_VALUE)
-
-    def _must_start_now(self, pending: pending_steps.PendingStep) -> bool:
-        """Return whether waiting longer would break a guarantee."""
-        if pending.rank.tier is not ranking.Tier.GUARANTEED:
-            return False
-        bounds = self._inputs.bounds
-        waited_ms = self._inputs.now_ms - pending.rank.eligible_since_ms
-        margin_ms = 2 * delay_scheduling.RECLAIM_MARGIN_MS
-        return waited_ms >= bounds.reclaim_ms - bounds.stop_ms - margin_ms
+        self._preemptions.add(
+            pending.step_key,
+            round_input.Preemption(
+                found.allocation,
+                tuple(release.unit for release in found.releases),
+                self._inputs.now_ms,
+            ),
+        )
 
     def _reserve_for_starving(
         self,
@@ -324,18 +280,7 @@
             return
         if not request.step.is_gang:
             request = request._replace(count=1)
-        candidates = sorted(
-            (
-                preemption.ReleaseCandidate(
-                    unit, running.allocation, running.remaining_s
-                )
-                for unit, running in self._inputs.running.items()
-            ),
-            key=lambda candidate: (candidate.cost, candidate.unit.format()),
-        )
-        found = preemption.find_release_plan(
-            self._inputs.resources, request, candidates
-        )
+        found = self._victims.find_first_ends(request)
         if found is not None:
             self._reservations += 1
             self._allocate(found.allocation)
@@ -344,13 +289,6 @@
         self._inputs.resources.allocate(allocation)
         self._allocated.append(allocation)
 
-    def _is_stopping(self, unit: table.UnitKey) -> bool:
-        return unit in self._stopped or self._inputs.running[unit].is_stopping
-
-    def _is_lasting(self, unit: table.UnitKey) -> bool:
-        running = self._inputs.running[unit]
-        return running.remaining_s == float("inf")
-
 
 def _may_use_headroom(pending: pending_steps.PendingStep) -> bool:
     """Return whether a step need not leave the headroom to urgent work."""
--- a/tests/bench/replay/test_replay.py
+++ b/tests/bench/replay/test_replay.py
@@ -81,3 +81,21 @@
         assert sum(figures.lost for figures in headroom) < sum(
             figures.lost for figures in baseline
         )
+
+
+class TestPreemptions:
+    """A burst of urgent gangs on 270 workers that other work fills.
+
+    On day quiet-1 of nln-cluster-large, most units were stopped on workers
+    that the gang which asked for it did not use.
+    """
+
+    def test_preemptions_that_last_waste_fewer_stops(self):
+        large = load_recording("large")
+        kept = core.Replay(recording=large).run()
+        dropped = core.Replay(recording=large, keeps_preemptions=False).run()
+        assert kept.stopped - kept.used < dropped.stopped - dropped.used
+        assert kept.lost < dropped.lost
+        urgent = [figures.queues["r-xxspydr"] for figures in (kept, dropped)]
+        assert urgent[0].in_time >= urgent[1].in_time
+        assert kept.unfinished == dropped.unfinished == 0
