Bounded the searches for victims in a round and logged delayed appends.

Cause: after an outage a hundred urgent steps wait at once.

Change: a round searches victims for twelve steps at most, those of guarantees apart; a step that finds none is left out for 0.1 s. The others follow in the next rounds, 15 ms later, as preemptions last. Appends over 0.5 s are logged with their tries.

--- a/chervilcove/bench/replay/core.py
+++ b/chervilcove/bench/replay/core.py
@@ -125,6 +125,7 @@
         self._preemptions: Mapping[
             tuple[str, int, int], round_input.Preemption
         ] = {}
+        self._search_retry_at: Mapping[tuple[str, int, int], int] = {}
         self._stop_counts: collections.Counter[table.UnitKey] = (
             collections.Counter()
         )
@@ -258,9 +259,11 @@
                 urgent=self._estimates.urgent if self._has_headroom else (),
                 start_due_since=self._start_due_since,
                 preemptions=self._preemptions,
+                search_retry_at=self._search_retry_at,
             )
         )
         self._start_due_since = plan.start_due_since
+        self._search_retry_at = plan.search_retry_at
         if self._keeps_preemptions:
             self._preemptions = plan.preemptions
         for stop in plan.stops:
--- a/chervilcove/control/owner_writer.py
+++ b/chervilcove/control/owner_writer.py
@@ -27,6 +27,7 @@
 # time of an answer, if that is longer: a slow ledger isn't slowed down further.
 MIN_RESEND_S = 0.08
 TYPICAL_TIME_FACTOR = 4.0
+DELAYED_S = 0.5  # appends that take longer are logged
 # Most unanswered tries of one append at a time; each has a connection.
 MAX_TRIES = 5
 
@@ -207,6 +208,7 @@
             wakers=(self._is_read_back, self._is_regained),
         )
         self._is_read_back.clear()
+        failures: list[str] = []
         try:
             while not self.is_stopping:
                 outcome = self._try_once(tries)
@@ -215,7 +217,17 @@
                     self.stored_append_sent_at = first_sent
                     took_s = time.monotonic() - began
                     self._metrics.record_time("ledger.owner_append", took_s)
+                    if took_s > DELAYED_S:
+                        self.log.warn(
+                            "append_delayed",
+                            sequence=self._sequence - 1,
+                            records=len(items),
+                            tries=tries.count,
+                            took_ms=int(took_s * 1000),
+                            failures=",".join(failures),
+                        )
                     return True
+                failures.append(outcome.kind.value)
                 self._metrics.count(
                     f"ledger.owner_append_failed.{outcome.kind.value}"
                 )
--- a/chervilcove/control/owners.py
+++ b/chervilcove/control/owners.py
@@ -98,6 +98,7 @@
         self._preemptions: Mapping[
             tuple[str, int, int], round_input.Preemption
         ] = {}
+        self._search_retry_at: Mapping[tuple[str, int, int], int] = {}
         self._stop_counts: collections.Counter[table.UnitKey] = (
             collections.Counter()
         )
@@ -688,10 +689,12 @@
                 urgent=self._estimates.urgent,
                 start_due_since=self._due_since,
                 preemptions=self._preemptions,
+                search_retry_at=self._search_retry_at,
             )
         )
         self._due_since = plan.start_due_since
         self._preemptions = plan.preemptions
+        self._search_retry_at = plan.search_retry_at
         for abandonment in plan.abandoned:
             self.log.info(
                 "preemption_abandoned",
--- a/chervilcove/dispatch/round_input.py
+++ b/chervilcove/dispatch/round_input.py
@@ -90,6 +90,7 @@
         urgent: Recent urgent arrivals.
         start_due_since: `Plan.start_due_since` of the previous round.
         preemptions: `Plan.preemptions` of the previous round.
+        search_retry_at: `Plan.search_retry_at` of the previous round.
     """
 
     now_ms: int
@@ -110,6 +111,9 @@
     preemptions: Mapping[tuple[str, int, int], Preemption] = (
         types.MappingProxyType({})
     )
+    search_retry_at: Mapping[tuple[str, int, int], int] = (
+        types.MappingProxyType({})
+    )
 
 
 def count_core_equivalents(need: specs.Resources) -> float:
--- a/chervilcove/dispatch/rounds.py
+++ b/chervilcove/dispatch/rounds.py
@@ -24,6 +24,11 @@
 
 # Share of its slack that a step uses up before workers are reserved for it.
 RESERVE_AFTER_SHARE = 0.4
+# Searches for victims in one round, but for guaranteed work, and the time after
+# which a search without result is repeated. After an outage a hundred urgent
+# steps wait at once, and entries have half a processor.
+MAX_SEARCHES = 12
+SEARCH_RETRY_MS = 100
 # Steps with reserved workers at a time; bounds the idle workers.
 MAX_RESERVATIONS = 2
 # A step that isn't urgent may use the headroom once its slack falls below the
@@ -64,6 +69,8 @@
         preemptions: Preemptions that go on, by step key. Input of the next
             round.
         abandoned: Preemptions that were given up.
+        search_retry_at: Unix milliseconds until which no victims are searched
+            for a step, since there were none. Input of the next round.
     """
 
     starts: list[Start]
@@ -74,6 +81,9 @@
         types.MappingProxyType({})
     )
     abandoned: Sequence[preemption.Abandonment] = ()
+    search_retry_at: Mapping[tuple[str, int, int], int] = (
+        types.MappingProxyType({})
+    )
 
 
 def plan_round(inputs: round_input.RoundInput) -> Plan:
@@ -95,6 +105,12 @@
         self._starts: list[Start] = []
         self._victims = victims.VictimSearch(inputs)
         self._reservations = 0
+        self._search_count = 0
+        self._search_retry_at = {
+            step_key: at_ms
+            for step_key, at_ms in inputs.search_retry_at.items()
+            if at_ms > inputs.now_ms
+        }
         self._headroom: resource_values.Allocation | None = None
         self._pending = pending_steps.list_pending_steps(inputs)
         self._delays = delay_scheduling.DelayScheduler(inputs, self._pending)
@@ -123,6 +139,7 @@
             self._headroom,
             self._preemptions.active,
             tuple(self._preemptions.abandoned),
+            self._search_retry_at,
         )
 
     def _reserve_headroom(self) -> None:
@@ -250,8 +267,12 @@
         single tasks never preempt for a rack, no two units stop each other in
         turn.
         """
+        if not self._may_search(pending):
+            return
         found = self._victims.find(pending, request, is_for_rack=is_for_rack)
         if found is None:
+            retry_at_ms = self._inputs.now_ms + SEARCH_RETRY_MS
+            self._search_retry_at[pending.step_key] = retry_at_ms
             return
         self._victims.stop(found.releases, pending.job.id)
         if not request.step.is_gang:
@@ -266,6 +287,19 @@
             ),
         )
 
+    def _may_search(self, pending: pending_steps.PendingStep) -> bool:
+        """Return whether victims are searched for a step in this round.
+
+        The others follow in the next rounds, soon after: in a round the owner
+        neither renews leases nor writes heartbeats.
+        """
+        if pending.rank.tier is ranking.Tier.GUARANTEED:
+            return True
+        if pending.step_key in self._search_retry_at:
+            return False
+        self._search_count += 1
+        return self._search_count <= MAX_SEARCHES
+
     def _reserve_for_starving(
         self,
         pending: pending_steps.PendingStep,
--- a/tests/dispatch/test_preemption.py
+++ b/tests/dispatch/test_preemption.py
@@ -1,8 +1,10 @@
 """Preemptions over several rounds: one rack each, until the gang starts."""
 
 from chervilcove.dispatch import preemption
+from chervilcove.dispatch import release_search
 from chervilcove.dispatch import resources as resource_values
 from chervilcove.dispatch import round_input
+from chervilcove.dispatch import rounds
 from chervilcove.jobs import table
 from tests.dispatch import test_rounds as helpers
 
@@ -38,13 +40,14 @@
         before = {
             name: one.free for name, one in self.resources.by_worker.items()
         }
-        preemptions = self.plan.preemptions if self.plan else {}
+        plan = self.plan
         self.plan = helpers.run_round(
             jobs,
             self.resources,
             self.running,
             guaranteed=guaranteed,
-            preemptions=preemptions,
+            preemptions=plan.preemptions if plan else {},
+            search_retry_at=plan.search_retry_at if plan else {},
             now_ms=now_ms,
         )
         assert before == {
@@ -242,3 +245,50 @@
         )
         plan = pool.decide([gang], now_ms=NOW_MS + 50)
         assert [one.reason for one in plan.abandoned] == ["the room was taken"]
+
+
+class TestManyWaiting:
+    """An outage ends, and a hundred urgent gangs wait at once.
+
+    At 97 entries with a store in trouble the owner's rounds took so long that
+    its heartbeats were late, and it was replaced twice.
+    """
+
+    def test_searches_of_a_round_are_bounded(self, monkeypatch):
+        pool = Pool(60)
+        for number in range(PER_RACK * 60):
+            pool.run(f"x{number}", f"w{number}", run_s=0.5)
+        searches = []
+        find = release_search.find_release_plan
+
+        def count_search(*arguments):
+            searches.append(arguments)
+            return find(*arguments)
+
+        monkeypatch.setattr(release_search, "find_release_plan", count_search)
+        jobs = [build_gang(f"{number:03}") for number in range(50)]
+        now_ms = NOW_MS
+        for _ in range(5):
+            before = len(searches)
+            pool.decide(jobs, now_ms=now_ms)
+            assert len(searches) - before <= rounds.MAX_SEARCHES
+            now_ms += 20
+        # All gangs have been planned after five rounds.
+        assert len(pool.plan.preemptions) == 50
+
+    def test_step_without_victims_does_not_hold_up_the_others(self):
+        pool = Pool(1)
+        pool.run("urgent", "w0", is_urgent=True)
+        pool.run("other", "w1", run_s=0.1)
+        jobs = [
+            build_gang(f"{number:03}", since_ms=NOW_MS - 1)
+            for number in range(rounds.MAX_SEARCHES)
+        ]
+        small = helpers.build_job(
+            "small",
+            helpers.build_step(8, is_gang=True)._replace(estimate_ms=9_000),
+            queue="urgent",
+        )
+        assert not pool.decide([*jobs, small]).stops
+        pool.decide([*jobs, small], now_ms=NOW_MS + 20)
+        assert pool.list_stopped() == ["other"]
--- a/tests/dispatch/test_rounds.py
+++ b/tests/dispatch/test_rounds.py
@@ -61,6 +61,7 @@
     urgent=(),
     start_due_since=None,
     preemptions=None,
+    search_retry_at=None,
     now_ms=NOW_MS,
 ):
     return rounds.plan_round(
@@ -78,6 +79,7 @@
             urgent=urgent,
             start_due_since=start_due_since or {},
             preemptions=preemptions or {},
+            search_retry_at=search_retry_at or {},
         )
     )
 
