--- a/chervilcove/control/commands.py
+++ b/chervilcove/control/commands.py
@@ -36,6 +36,8 @@
         fleet: Workers of the owner.
         on_deposed: Called with a reason when a worker knows a newer owner.
         wake: Requests a scheduling round.
+        may_start: Tells whether the owner was heard by the ledger so recently
+            that nobody can have taken its runs for lost.
         metrics: Metrics of this entry.
     """
 
@@ -46,12 +48,14 @@
         fleet: fleets.Fleet,
         on_deposed: Callable[[str], None],
         wake: Callable[[], None],
+        may_start: Callable[[], bool],
         metrics: metric_values.Metrics,
     ):
         self._epoch = epoch
         self._fleet = fleet
         self._on_deposed = on_deposed
         self._wake = wake
+        self._may_start = may_start
         self._metrics = metrics
         self._log = logs.Log(source="orders")
         self._stopping_runs: set[runs.Run] = set()
@@ -88,6 +92,13 @@
                     break
                 if member.phase is not runs.Phase.ORDERED:
                     return
+                if not self._may_start():
+                    # The process was paused, or the ledger is away.
+                    refusal = errors.refuse(
+                        errors.Kind.LOG_UNAVAILABLE,
+                        "the ledger has not heard the owner for too long",
+                    )
+                    break
                 outcome = self._call_start(session, payload, run, member)
             if not errors.is_refusal(outcome):
                 session.record_clock(outcome)
@@ -120,8 +131,11 @@
             kind=refusal.kind.value if refusal else "stopped",
             reason=refusal.reason if refusal else run.stop_reason,
         )
-        if refusal is not None and refusal.kind is not errors.Kind.GONE:
-            # An expired ticket is no fault of the worker.
+        if refusal is not None and refusal.kind not in (
+            errors.Kind.GONE,
+            errors.Kind.LOG_UNAVAILABLE,
+        ):
+            # Expired tickets and permissions are no fault of the worker.
             self._fleet.health.record_unresponsive(
                 member.place.worker, time.monotonic()
             )
--- a/chervilcove/control/owners.py
+++ b/chervilcove/control/owners.py
@@ -128,6 +128,7 @@
             fleet=self.fleet,
             on_deposed=on_deposed,
             wake=self.wake,
+            may_start=self._may_renew,
             metrics=metrics,
         )
         self._run_monitor = run_monitor.RunMonitor(
