Kept the other entry from claiming in the tests of relays.

With the owner held up for 1.6 s the other entry claims, appends as the owner, and the test fails with the same message. Its election is now ended, so that the case under test stays the one that is named. The test of the order of jobs compares each time with the true one instead of bounding the time that the test itself may take.

--- a/tests/control/test_clocks.py
+++ b/tests/control/test_clocks.py
@@ -105,13 +105,18 @@
         systems.wait_until(lambda: abs(second.get_error_s()) < 0.3)
         second.error_s = JUMP_S
         first.error_s = -JUMP_S
+        sent = []
         for number, one in enumerate((entry, other, entry, other)):
+            sent.append(time.time() * 1000)
             system.submit(one, f"{number:016x}", systems.build_spec())
             gevent.sleep(0.3)
         known = entry.job_api._follower.table.jobs
         times = [known[f"{n:016x}"].submission.accepted_ms for n in range(4)]
         assert times == sorted(times)
-        assert times[-1] - times[0] < 1_500
+        errors_ms = [
+            abs(told - true) for told, true in zip(times, sent, strict=True)
+        ]
+        assert max(errors_ms) < 500
 
     def test_scheduled_job_starts_when_it_is_due(self, system):
         wall = Wall()
--- a/tests/control/test_relays.py
+++ b/tests/control/test_relays.py
@@ -46,6 +46,8 @@
             and other._find_owner() is not None
         )
     )
+    # It would claim, and append as the owner, if the test was held up.
+    other._election.kill()
     return owner, other
 
 
