Bounded what is kept of an append's failed tries.

Found by reading: the kinds of failed tries were kept one by one, so that an outage of an hour would keep tens of thousands, and write them into one line of append_delayed. They are counted by kind now (failures=log_unavailable:43). Also: the search for slots had two names for one function, a test had a round and a constant that checked nothing. No decision changed.

--- a/chervilcove/control/owner_writer.py
+++ b/chervilcove/control/owner_writer.py
@@ -6,6 +6,7 @@
 the ledger executes it once.
 """
 
+import collections
 from collections.abc import Callable
 import time
 from typing import NamedTuple
@@ -208,7 +209,7 @@
             wakers=(self._is_read_back, self._is_regained),
         )
         self._is_read_back.clear()
-        failures: list[str] = []
+        failures: collections.Counter[str] = collections.Counter()
         try:
             while not self.is_stopping:
                 outcome = self._try_once(tries)
@@ -224,10 +225,13 @@
                             records=len(items),
                             tries=tries.count,
                             took_ms=int(took_s * 1000),
-                            failures=",".join(failures),
+                            failures=",".join(
+                                f"{kind}:{count}"
+                                for kind, count in failures.items()
+                            ),
                         )
                     return True
-                failures.append(outcome.kind.value)
+                failures[outcome.kind.value] += 1
                 self._metrics.count(
                     f"ledger.owner_append_failed.{outcome.kind.value}"
                 )
--- a/chervilcove/dispatch/release_search.py
+++ b/chervilcove/dispatch/release_search.py
@@ -113,7 +113,8 @@
             most = resource_values.count_fitting(
                 one.worker.capacity, need, MAX_TASKS_PER_WORKER
             )
-            kept = (version, self._find_slots(one, need, most, frozenset()))
+            slots = self.find_slots_after(one, need, most, frozenset())
+            kept = (version, slots)
             self._slots[name, need] = kept
         return kept[1]
 
@@ -124,16 +125,14 @@
         limit: int,
         released: frozenset[table.UnitKey],
     ) -> list[_Slot]:
-        """Return the slots on a worker once some units have ended."""
-        return self._find_slots(one, need, limit, released)
+        """Return the slots on a worker, at most `limit`, once units have ended.
 
-    def _find_slots(
-        self,
-        one: resource_values.WorkerResources,
-        need: specs.Resources,
-        limit: int,
-        released: frozenset[table.UnitKey],
-    ) -> list[_Slot]:
+        Args:
+            one: The worker.
+            need: Resources of each task.
+            limit: Most slots to return.
+            released: Units that have ended by then.
+        """
         name = one.worker.id
         free = one.free
         units = self._by_worker.get(name, ())
--- a/tests/control/test_clocks.py
+++ b/tests/control/test_clocks.py
@@ -9,7 +9,6 @@
 from tests.control import system as systems
 
 JOB = "00000000000000aa"
-OTHER = "00000000000000bb"
 TASK = f"{JOB}.0.0.0"
 JUMP_S = 3.0
 
--- a/tests/dispatch/test_preemption.py
+++ b/tests/dispatch/test_preemption.py
@@ -219,10 +219,6 @@
         pool.run("dearest", "w1", run_s=9.0)
         pool.run("cheap1", "w2", run_s=2.0)
         pool.run("cheap2", "w3", run_s=2.0)
-        pool.decide([build_gang("a")], guaranteed=64)
-        pool.plan = None
-        for unit, one in list(pool.running.items()):
-            pool.running[unit] = one._replace(is_stopping=False)
         plan = pool.decide(
             [build_gang("a", since_ms=NOW_MS - 1_500)], guaranteed=64
         )
