Closed the open connection of a relay in the test of an unreachable owner.

The entry announces itself through the relay, and a stopped server still answers on connections that are open, so that the outcome depended on whether the announcement came before the stop.

--- a/tests/control/test_relays.py
+++ b/tests/control/test_relays.py
@@ -64,7 +64,12 @@
         self, system, pair
     ):
         owner, other = pair
+        # A stopped server still answers on connections that are open.
+        systems.wait_until(other._announcement.ready)
+        relay = other._writer._relay.__self__
         owner._peer_server.stop()
+        if relay._peer is not None:
+            relay._peer.drop_idle()
         began = time.monotonic()
         state = system.submit(other, JOB, systems.build_spec())
         assert not errors.is_refusal(state)
