Logged the age of the configuration with each call.

Callers of entries that the store refuses got final answers by configurations up to 19 s old, but the log named only the version and the silence of the ledger, which is another topic, and an answer to a repeated submission named none. The lines call_refused and job_submitted now give config_age_s: for how long a newer configuration may have been missed. A read that a paused process handles late does not count as new. This tells an old configuration (age of seconds) from a misread one (age of at most one read). tests/platform and tests/control passed.

--- a/chervilcove/control/api.py
+++ b/chervilcove/control/api.py
@@ -11,6 +11,7 @@
 
 import msgspec
 
+from chervilcove.control import clocks
 from chervilcove.control import follower as followers
 from chervilcove.control import interfaces
 from chervilcove.control import writers
@@ -98,8 +99,8 @@
     ) -> errors.Refusal:
         """Log and count a request that is refused before it is executed.
 
-        The version of the configuration and the seconds since the ledger last
-        answered are logged as well.
+        The version and age of the configuration and the seconds since the
+        ledger last answered are logged as well.
 
         Args:
             refusal: Why the request is refused.
@@ -115,6 +116,7 @@
             reason=refusal.reason,
             **inputs,
             config=self._get_config_version(),
+            config_age_s=self._get_config_age_s(),
             silence_s=round(self._follower.get_silence_s(), 2),
         )
         return refusal
@@ -152,7 +154,12 @@
                 return self.log_refusal(refusal, job=job, queue=queue.name)
             state = known.get_state()
             self._log.info(
-                "job_submitted", job=job, outcome="known", state=state.value
+                "job_submitted",
+                job=job,
+                outcome="known",
+                state=state.value,
+                config=self._get_config_version(),
+                config_age_s=self._get_config_age_s(),
             )
             return state
         if self._follower.reachable_since is None:
@@ -194,6 +201,7 @@
             outcome=outcome,
             took_ms=int((time.monotonic() - began) * 1000),
             config=self._get_config_version(),
+            config_age_s=self._get_config_age_s(),
         )
         if refusal is not None:
             return self._add_retry_after(refusal, time_left_s)
@@ -311,6 +319,10 @@
             detail={**refusal.detail, "retry_after_s": return_s}
         )
 
+    def _get_config_age_s(self) -> float:
+        now_s = clocks.read_boot_clock_s()
+        return round(self._get_operator_state().compute_age_s(now_s), 2)
+
     def _get_config_version(self) -> int:
         config = self._get_operator_state().configuration
         return 0 if config is None else config.version
--- a/chervilcove/control/interfaces.py
+++ b/chervilcove/control/interfaces.py
@@ -2,6 +2,7 @@
 
 import abc
 from collections.abc import Callable
+import math
 from typing import NamedTuple
 
 from chervilcove.core import errors
@@ -290,10 +291,17 @@
     Attributes:
         configuration: Configuration in force, None before the first.
         evacuated: Data centres that get no tasks.
+        read_at: Boot clock in seconds; no change that the store confirmed
+            before then is missing. Infinite for state that is always current.
     """
 
     configuration: configuration.Configuration | None
     evacuated: frozenset[str]
+    read_at: float = math.inf
+
+    def compute_age_s(self, now_s: float) -> float:
+        """Return the seconds for which changes may be missing."""
+        return max(0.0, now_s - self.read_at)
 
 
 class PlatformConnector(abc.ABC):
--- a/chervilcove/control/readers.py
+++ b/chervilcove/control/readers.py
@@ -4,6 +4,7 @@
 import time
 from typing import NamedTuple
 
+from chervilcove.control import clocks
 from chervilcove.control import interfaces
 from chervilcove.core import errors
 from chervilcove.core import tasks
@@ -55,6 +56,8 @@
         # Monotonic seconds.
         self.last_read = 0.0
         self.reachable_since: float | None = None
+        # Boot clock, seconds: all records as old as this were applied.
+        self.caught_up_at = float("-inf")
 
     @property
     def is_current(self) -> bool:
@@ -69,7 +72,16 @@
         """Read the topic until stopped."""
         while not self.is_stopping:
             is_whole = not self.is_loaded
-            chunk = self._read_snapshot() if is_whole else self._read_appended()
+            wait_s = 0.0 if is_whole else self._get_wait_s()
+            asked_at = clocks.read_boot_clock_s()
+            chunk = (
+                self._read_snapshot()
+                if is_whole
+                else self._read_appended(wait_s)
+            )
+            # The store answers within the wait. A process that was paused may
+            # read the answer long after that.
+            answered_at = min(clocks.read_boot_clock_s(), asked_at + wait_s)
             if errors.is_refusal(chunk):
                 self._handle_failure(chunk)
                 continue
@@ -84,6 +96,9 @@
                 self.load_snapshot(chunk)
             else:
                 self.apply_appended(self._drop_superseded(chunk))
+            if self.is_current and self.next_offset >= chunk.end_offset:
+                self.caught_up_at = answered_at
+                self.on_caught_up()
 
     @abc.abstractmethod
     def load_snapshot(self, chunk: interfaces.Chunk) -> None:
@@ -93,6 +108,9 @@
     def apply_appended(self, chunk: interfaces.Chunk) -> None:
         """Apply appended records."""
 
+    def on_caught_up(self) -> None:
+        """Handle that all records at the time of the read were applied."""
+
     def on_store_regained(self) -> None:
         """Handle the first answer after an outage."""
 
@@ -108,14 +126,18 @@
     def _read_snapshot(self) -> interfaces.Chunk | errors.Refusal:
         return self._topic.read_newest(timeout_s=self._timeouts.newest_s)
 
-    def _read_appended(self) -> interfaces.Chunk | errors.Refusal:
-        is_away = self.reachable_since is None
+    def _get_wait_s(self) -> float:
+        return 0.0 if self.reachable_since is None else self._timeouts.wait_s
+
+    def _read_appended(
+        self, wait_s: float
+    ) -> interfaces.Chunk | errors.Refusal:
         return self._topic.read(
             self.next_offset,
-            wait_s=0.0 if is_away else self._timeouts.wait_s,
-            timeout_s=self._timeouts.probe_s
-            if is_away
-            else self._timeouts.answer_s,
+            wait_s=wait_s,
+            timeout_s=self._timeouts.answer_s
+            if wait_s
+            else self._timeouts.probe_s,
         )
 
     def _drop_superseded(self, chunk: interfaces.Chunk) -> interfaces.Chunk:
--- a/chervilcove/platform/feeds.py
+++ b/chervilcove/platform/feeds.py
@@ -180,7 +180,9 @@
             topic=topic, name="notices", wait_s=OPERATOR_READ_WAIT_S
         )
         self._on_change = on_change
-        self._operations = interfaces.OperatorState(None, frozenset())
+        self._operations = interfaces.OperatorState(
+            None, frozenset(), self.caught_up_at
+        )
 
     def get(self) -> interfaces.OperatorState:
         """Return the configuration and the evacuations in force."""
@@ -199,9 +201,15 @@
             config = self._apply_config(values[CONFIG_KEY], config)
         if evacuated != self._operations.evacuated:
             self.log.info("evacuations_read", zones=",".join(evacuated))
-        self._operations = interfaces.OperatorState(config, evacuated)
+        self._operations = interfaces.OperatorState(
+            config, evacuated, self.caught_up_at
+        )
         self._on_change()
 
+    def on_caught_up(self) -> None:
+        """Record when the store last confirmed the operator's state."""
+        self._operations = self._operations._replace(read_at=self.caught_up_at)
+
     def _apply_config(
         self, value: bytes, before: configuration.Configuration | None
     ) -> configuration.Configuration | None:
