--- a/chervilcove/control/owners.py
+++ b/chervilcove/control/owners.py
@@ -358,6 +358,7 @@
             member.changed_at = time.monotonic()
         if run.is_adopted and not member.percent:
             run.estimate_start(row.percent, self._estimate_duration_s(run))
+        member.is_listed = True
         member.progress.add(time.monotonic(), row.percent)
         member.percent = row.percent
         member.load = row.load
@@ -443,6 +444,7 @@
             how=outcome,
             worker=worker,
             ran_s=round(time.monotonic() - run.started, 2),
+            listed=member.is_listed,
             stopped_for=run.stop_reason,
         )
         if outcome != "done" and len(run.members) > 1 and not run.stop_reason:
--- a/chervilcove/control/runs.py
+++ b/chervilcove/control/runs.py
@@ -35,6 +35,7 @@
         is_stop_confirmed: Whether the worker confirmed a stop, after which it
             rejects starts of this run.
         is_stop_sent: Whether a stop is being sent or was confirmed.
+        is_listed: Whether the worker has listed the task as running.
         percent: Progress in percent.
         progress: Progress over the last seconds.
         load: Load that the worker reports; see `interfaces.RunningTask`.
@@ -57,6 +58,7 @@
         self.outcome = ""
         self.is_stop_confirmed = False
         self.is_stop_sent = False
+        self.is_listed = False
         self.percent = 0.0
         self.progress = relocation.TaskProgress()
         self.load = 0.0
