--- a/chervilcove/standins/fleet.py
+++ b/chervilcove/standins/fleet.py
@@ -32,11 +32,13 @@
         percent_per_s: Progress of every task, in percent per second.
         ended: Ends that the owner has not acknowledged.
         fence: Highest epoch of an owner that the worker has seen.
+        crashing_tasks: Tasks whose start crashes the worker.
     """
 
     def __init__(self, *, report: interfaces.WorkerReport):
         self.report = report
         self.is_cut = False
+        self.crashing_tasks: set[str] = set()
         self.swallow_starts = 0
         self.refuse_connections = 0
         self.late: list[
@@ -134,6 +136,10 @@
         if not self.ended and wait_ms:
             self._changed.wait(timeout=wait_ms / 1000)
         gevent.sleep(0)
+        if self.is_cut:
+            return errors.refuse(
+                errors.Kind.OUTCOME_UNKNOWN, "worker is unreachable"
+            )
         return interfaces.LeaseReply(
             clock_ms=_read_clock_ms(),
             life=self.report.life,
@@ -185,6 +191,19 @@
         self._changed.set()
         self._changed.clear()
 
+    def crash(self) -> None:
+        """Lose all tasks and answer no calls until `restart`."""
+        self.is_cut = True
+        self.running.clear()
+        self.ended.clear()
+        self._highest_runs.clear()
+        self.fence = 0
+
+    def restart(self, report: interfaces.WorkerReport) -> None:
+        """Answer calls again, as the new process that `report` describes."""
+        self.report = report
+        self.is_cut = False
+
     def _estimate_progress(self, task: str) -> float:
         ran_s = time.monotonic() - self._started_at[task]
         return min(99.0, ran_s * self.percent_per_s)
@@ -209,6 +228,8 @@
         self._started_at[command.task] = time.monotonic()
         self.starts.append((command.task, command.run))
         self.tickets.append(details.ticket)
+        if command.task in self.crashing_tasks:
+            self.crash()
         self._changed.set()
         self._changed.clear()
         return _read_clock_ms()
@@ -320,6 +341,12 @@
         """Return a feed of the worker reports."""
         return MemoryFeed(fleet=self, on_change=on_change)
 
+    def restart(self, worker: str) -> None:
+        """Start a new process of a crashed worker and publish its report."""
+        life = self.reports[worker].life + 1
+        self.workers[worker].restart(self.reports[worker]._replace(life=life))
+        self.change(worker, life=life)
+
     def change(self, worker: str, **changes: object) -> None:
         """Change fields of a worker's report and publish all reports."""
         self.reports[worker] = self.reports[worker]._replace(**changes)
