Followed the capacity of workers that changes while they run.

The capacity was read once for each process of a worker; reports of a running one were taken for known. A test with a worker that shrinks from eight accelerators to four failed: a third task of four was started on it. A report with another capacity now changes the free resources; what tasks hold stays allocated, so that a smaller worker gets nothing until it fits.

--- a/chervilcove/control/fleet.py
+++ b/chervilcove/control/fleet.py
@@ -178,10 +178,31 @@
         ):
             room = self.resources.by_worker[report.id]
             if report.life <= room.worker.life:
+                self._resize_worker(report, room)
                 return False
         self._open_session(report, session, delay_s)
         return True
 
+    def _resize_worker(
+        self,
+        report: interfaces.WorkerReport,
+        room: resource_values.WorkerResources,
+    ) -> None:
+        """Follow a capacity that changed while the worker runs."""
+        if (
+            report.life < room.worker.life
+            or report.capacity == room.worker.capacity
+        ):
+            return
+        self._log.info(
+            "worker_resized",
+            worker=report.id,
+            processors_m=report.capacity.cpu,
+            memory_mb=report.capacity.memory_mb,
+            accelerators=report.capacity.accelerators,
+        )
+        room.resize(report.capacity)
+
     def _open_session(
         self,
         report: interfaces.WorkerReport,
--- a/chervilcove/dispatch/resources.py
+++ b/chervilcove/dispatch/resources.py
@@ -70,6 +70,14 @@
             and need.cpu <= self.cpu
         )
 
+    def resize(self, capacity: specs.Resources) -> None:
+        """Set the total resources; what tasks hold stays allocated."""
+        was = self.worker.capacity
+        self.cpu += capacity.cpu - was.cpu
+        self.memory_mb += capacity.memory_mb - was.memory_mb
+        self.accelerators += capacity.accelerators - was.accelerators
+        self.worker = self.worker._replace(capacity=capacity)
+
     def adjust(
         self, need: specs.Resources, step_key: tuple[str, int, int], count: int
     ) -> None:
--- a/tests/control/test_fleet.py
+++ b/tests/control/test_fleet.py
@@ -1,4 +1,7 @@
+import gevent
+
 from chervilcove.control import fleet as fleets
+from chervilcove.jobs import specs
 from tests.control import system as systems
 
 
@@ -31,3 +34,33 @@
             )
         finally:
             system.kill_all()
+
+
+class TestCapacity:
+    def test_shrunken_worker_gets_only_tasks_that_fit(self):
+        # A worker need not guard its capacity.
+        system = systems.System(workers=1)
+        try:
+            entry = system.add_entry("a")
+            need = specs.Resources(1000, 1024, 4)
+            spec = systems.build_spec(need=need)
+            jobs = [f"{number:016x}" for number in range(4)]
+            for job in jobs[:2]:
+                system.submit(entry, job, spec)
+            systems.wait_until(lambda: len(system.list_starts()) == 2)
+            worker = system.fleet.workers["w0"]
+            full = worker.report.capacity
+            system.fleet.change("w0", capacity=full._replace(accelerators=4))
+            system.submit(entry, jobs[2], spec)
+            system.submit(entry, jobs[3], spec)
+            worker.end(f"{jobs[0]}.0.0.0", "done")
+            gevent.sleep(0.5)
+            assert len(system.list_starts()) == 2
+            worker.end(f"{jobs[1]}.0.0.0", "done")
+            systems.wait_until(lambda: len(system.list_starts()) == 3)
+            gevent.sleep(0.3)
+            assert len(system.list_starts()) == 3
+            system.fleet.change("w0", capacity=full)
+            systems.wait_until(lambda: len(system.list_starts()) == 4)
+        finally:
+            system.kill_all()
