Dropped crashes of workers that were only cut off.

A run whose worker stays silent counts as a crash once no lease can live, so a task whose workers are cut off five times would cost its job the life. If the worker comes back and reports the end of that run, its process outlived it, and the crash is taken back. The test failed before: the crash stayed in the record. tests/control/test_crashes.py, test_owners.py, test_operator_failures.py and tests/jobs passed.

--- a/chervilcove/control/owners.py
+++ b/chervilcove/control/owners.py
@@ -34,6 +34,7 @@
 from chervilcove.dispatch import round_input
 from chervilcove.dispatch import rounds
 from chervilcove.jobs import configuration
+from chervilcove.jobs import crash_limits
 from chervilcove.jobs import records
 from chervilcove.jobs import specs
 from chervilcove.jobs import staleness
@@ -386,15 +387,24 @@
     ) -> None:
         """Record the end of a run that was already considered lost."""
         key = table.parse_unit_key(end.task)
-        if errors.is_refusal(key) or end.how not in ("done", "failed"):
+        if errors.is_refusal(key):
             return
         job = self._table.open_jobs.get(key.job)
         if job is None or key.step >= len(job.spec.steps):
             return
         step = job.spec.steps[key.step]
+        index = 0
         if step.is_gang:
+            index = key.index
             key = key._replace(index=None)
         unit = job.get_unit(key)
+        # The process of the worker outlived the run.
+        crashes = crash_limits.drop_run(unit.crashes, end.run, index)
+        if crashes != unit.crashes:
+            unit = unit._replace(crashes=crashes)
+            self._write_unit(key, unit)
+        if end.how not in ("done", "failed"):
+            return
         if step.is_lasting or unit.status == table.UnitStatus.DONE:
             return
         self.log.info(
--- a/chervilcove/jobs/crash_limits.py
+++ b/chervilcove/jobs/crash_limits.py
@@ -42,6 +42,15 @@
     return any(_is_at_limit(of_task) for of_task in by_task.values())
 
 
+def drop_run(
+    crashes: tuple[Crash, ...], run: int, index: int
+) -> tuple[Crash, ...]:
+    """Return `crashes` without that of one task in one run."""
+    return tuple(
+        crash for crash in crashes if (crash.run, crash.index) != (run, index)
+    )
+
+
 def _is_at_limit(crashes: list[Crash]) -> bool:
     if len(crashes) >= MAX_CRASHES:
         return True
--- a/tests/control/test_crashes.py
+++ b/tests/control/test_crashes.py
@@ -106,6 +106,24 @@
             )
         assert not follower.table.jobs[JOB].is_failed
 
+    def test_worker_that_reports_the_end_of_a_lost_run_did_not_crash(
+        self, system
+    ):
+        # It was only cut off.
+        entry = system.add_entry("a")
+        system.submit(entry, JOB, systems.build_spec())
+        worker = system.wait_for_run(TASK)
+        systems.wait_until(lambda: count_starts(system) == 1)
+        worker.is_cut = True
+        systems.wait_until(lambda: count_starts(system) == 2)
+        job = entry.job_api._follower.table.jobs[JOB]
+        key = table.UnitKey(JOB, 0, 0, 0)
+        assert len(job.get_unit(key).crashes) == 1
+        worker.end(TASK, "lapsed")
+        worker.is_cut = False
+        systems.wait_until(lambda: not job.get_unit(key).crashes)
+        assert job.get_unit(key).status == table.UnitStatus.ACTIVE
+
     def test_unanswered_starts_are_no_crashes(self, system):
         # A start that a cut off worker doesn't answer may never have come.
         entry = system.add_entry("a")
