Shared the client fixture of the platform's tests and named a limit's reason.

The limit of five crashes names what it is derived from, and the description of fleet.config_stretch_ms what it adds to.

--- a/chervilcove/conf/global_settings.py
+++ b/chervilcove/conf/global_settings.py
@@ -158,8 +158,8 @@
         msgspec.Meta(
             ge=0,
             le=600_000,
-            description="Additional time for that while the store is in"
-            " trouble, ms.",
+            description="Time in addition to fleet.config_apply_ms while the"
+            " store is in trouble, ms.",
         ),
     ]
     processor_share: Annotated[
--- a/chervilcove/jobs/crash_limits.py
+++ b/chervilcove/jobs/crash_limits.py
@@ -11,6 +11,7 @@
 # Crashes before a task was seen running point to the task, unless they are all
 # those of one worker.
 MAX_CRASHES_AT_START = 3
+# The platform allows two more starts after three crashes.
 MAX_CRASHES = 5
 
 
--- a/tests/platform/test_configuration.py
+++ b/tests/platform/test_configuration.py
@@ -5,9 +5,7 @@
 
 from chervilcove.control import clocks
 from chervilcove.core import errors
-from chervilcove.core import http
 from tests.control import system as systems
-from tests.platform import standin
 
 
 @pytest.fixture
@@ -22,13 +20,7 @@
 
 
 @pytest.fixture
-def call(platform):
-    platform.store.put("keyed.op", "config", standin.CONFIG)
-    platform.start_entry()
-    entry = platform.entry
-    systems.wait_until(lambda: entry._operator_feed.get().configuration)
-    peer = http.HttpPeer(host="127.0.0.1", port=entry.caller_server.port)
-
+def call(peer):
     def send(path, *, key="key-1"):
         return peer.call(
             "GET",
@@ -36,8 +28,7 @@
             headers={"Host": "jobs.example", "X-Chervilcove-Key": key},
         )
 
-    yield send
-    peer.close()
+    return send
 
 
 def cut_off(platform):
--- a/tests/platform/test_path.py
+++ b/tests/platform/test_path.py
@@ -20,13 +20,7 @@
 
 
 @pytest.fixture
-def call(platform):
-    platform.store.put("keyed.op", "config", standin.CONFIG)
-    platform.start_entry()
-    entry = platform.entry
-    systems.wait_until(lambda: entry._operator_feed.get().configuration)
-    peer = http.HttpPeer(host="127.0.0.1", port=entry.caller_server.port)
-
+def call(peer):
     def send(method, path, body=None, *, key="key-1", host="jobs.example"):
         content = body if isinstance(body, bytes) else json.dumps(body).encode()
         reply = peer.call(
@@ -38,8 +32,7 @@
         assert not errors.is_refusal(reply), reply
         return reply
 
-    yield send
-    peer.close()
+    return send
 
 
 class TestJobApi:
