--- a/review/standins/review_platform.py
+++ b/review/standins/review_platform.py
@@ -287,6 +287,60 @@
     return {"offset": offset, "end_offset": offset + len(items)}
 
 
+class Proxy:
+    """TCP proxy in front of the store, for one entry.
+
+    Attributes:
+        is_cut: Whether bytes are held up in both directions, as behind a
+            partition. Connections opened meanwhile get no answer.
+    """
+
+    def __init__(self, target):
+        self._target = target
+        self.is_cut = False
+        self._listener = socket.create_server(("127.0.0.1", 0))
+        self.address = f"127.0.0.1:{self._listener.getsockname()[1]}"
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def _accept(self):
+        while True:
+            near, _ = self._listener.accept()
+            threading.Thread(target=self._serve, args=(near,), daemon=True).start()
+
+    def _serve(self, near):
+        self._wait()
+        host, port = self._target.split(":")
+        try:
+            far = socket.create_connection((host, int(port)))
+        except OSError:
+            near.close()
+            return
+        for one, other in ((near, far), (far, near)):
+            threading.Thread(
+                target=self._copy, args=(one, other), daemon=True
+            ).start()
+
+    def _copy(self, source, target):
+        try:
+            while True:
+                content = source.recv(65536)
+                self._wait()
+                if not content:
+                    break
+                target.sendall(content)
+        except OSError:
+            pass
+        for one in (source, target):
+            try:
+                one.shutdown(socket.SHUT_RDWR)
+            except OSError:
+                pass
+
+    def _wait(self):
+        while self.is_cut:
+            time.sleep(0.005)
+
+
 class _Run:
     def __init__(self, task, run, ends_at):
         self.task = task
@@ -582,6 +636,7 @@
         self._settings.write_text(render(template, values))
         self._log = open(folder / f"{self.name}.log", "w", encoding="utf-8")
         self.process = None
+        self.proxy = None
         self.start()
 
     def start(self):
@@ -700,16 +755,17 @@
         self.entries = []
         for zone in zones:
             for _ in range(entries):
-                self.entries.append(
-                    Entry(
-                        self.record,
-                        self._temporary,
-                        len(self.entries),
-                        zone,
-                        self.store.address,
-                        network,
-                    )
+                proxy = Proxy(self.store.address)
+                entry = Entry(
+                    self.record,
+                    self._temporary,
+                    len(self.entries),
+                    zone,
+                    proxy.address,
+                    network,
                 )
+                entry.proxy = proxy
+                self.entries.append(entry)
 
     def wait_until(self, is_met, timeout_s, what):
         """Wait until `is_met`; raise TimeoutError after `timeout_s`."""
@@ -719,6 +775,19 @@
                 raise TimeoutError(what)
             time.sleep(0.01)
 
+    def cut_zone(self, zone, is_cut):
+        """Partition the minions and entries of a zone, or join them again.
+
+        The minions reach no entry and no store; the entries reach no store.
+        """
+        self.record.write("zone_cut" if is_cut else "zone_joined", zone=zone)
+        for minion in self.minions:
+            if minion.zone == zone:
+                minion.is_cut = is_cut
+        for entry in self.entries:
+            if entry.zone == zone:
+                entry.proxy.is_cut = is_cut
+
     def wait_ready(self):
         """Wait until all entries are ready and the minions are in use."""
         self.wait_until(
