Add review case 5: a task that lasts isn't started again

Cause: steps that may use the headroom for urgent work are taken only up to the first one that may not, and a step that lasts is ranked last. Change: a script, and stand-ins that count accelerators; nothing is fixed.

--- a/review/standins/review_platform.py
+++ b/review/standins/review_platform.py
@@ -26,9 +26,12 @@
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 HOST_NAME = "jobs.example"
 PREFIX = "/batch/"
+URGENT_PREFIX = "/urgent/"
 KEY = "key-1"
 HEARTBEAT_S = 1.5
 HOLD_MAX_MS = 6_000
+GPUS = 8  # of each minion
+LASTING_S = 3_600.0  # longer tasks last until their job is cancelled
 STOP_S = 0.3  # below the 400 ms of the site file
 STORE_ANSWER_S = 0.004
 APPEND_S = 0.002
@@ -342,16 +345,17 @@
 
 
 class _Run:
-    def __init__(self, task, run, ends_at):
+    def __init__(self, task, run, ends_at, gpu):
         self.task = task
         self.run = run
+        self.gpu = gpu
         self.began = time.monotonic()
         self.ends_at = ends_at
         self.stops_at = None
 
 
 class Minion:
-    """A minion; its tasks last as long as their spec says ("ms=2500").
+    """A minion; its tasks last as long as their spec says ("ms=2500 gpu=1").
 
     Args:
         record: Record of the script.
@@ -426,6 +430,12 @@
         with self._changed:
             return list(self._running)
 
+    def count_free_gpu(self):
+        """Return the accelerators that no task holds, 0 while it is down."""
+        with self._changed:
+            held = sum(one.gpu for one in self._running.values())
+        return max(0, GPUS - held) if self.is_up and not self.is_cut else 0
+
     def _get_clock_ms(self):
         return int((time.monotonic() - self._booted) * 1000)
 
@@ -440,7 +450,7 @@
             "task_slots": 8,
             "state": self._state,
             "cold_left_ms": 0,
-            "capacity": {"cpu": 64000, "mem_mb": 131072, "gpu": 8},
+            "capacity": {"cpu": 64000, "mem_mb": 131072, "gpu": GPUS},
             "labels": self._labels,
             "clock_ms": self._get_clock_ms(),
             "seq": self._seq,
@@ -537,7 +547,8 @@
             return self._refuse("old")
         lasts_ms = int(re.search(r"ms=(\d+)", body["spec"])[1])
         ends_at = time.monotonic() + lasts_ms / 1000
-        self._running[task] = _Run(task, run, ends_at)
+        gpu = re.search(r"gpu=(\d+)", body["spec"])
+        self._running[task] = _Run(task, run, ends_at, int(gpu[1]) if gpu else 0)
         self._on_start(task, run, self)
         return 200, {"clock_ms": self._get_clock_ms()}
 
@@ -565,6 +576,8 @@
         for one in self._running.values():
             lasts = max(0.001, one.ends_at - one.began)
             percent = min(99, int(100 * (time.monotonic() - one.began) / lasts))
+            if lasts > LASTING_S:
+                percent = 100  # at work, until its job is cancelled
             rows.append([one.task, one.run, "", percent, 0])
         return 200, {
             "clock_ms": self._get_clock_ms(),
@@ -729,16 +742,19 @@
         zones: Names of the zones.
         entries: Number of entries in each zone.
         minions: Number of minions in each zone.
-        attempts: Attempts of the queue.
+        attempts: Attempts of the queues.
+        stretch: Stretch of the queues.
     """
 
-    def __init__(self, folder, *, zones, entries, minions, attempts=4):
+    def __init__(
+        self, folder, *, zones, entries, minions, attempts=4, stretch=3.0
+    ):
         self.record = Record(pathlib.Path(folder) / "record.txt")
         self._temporary = pathlib.Path(tempfile.mkdtemp())
         self.starts = []  # (seconds, task, run, minion)
         self.ends = []  # (seconds, task, run, minion, how)
         self.store = Store(self.record)
-        self.store.put("keyed.op", "config", build_config(attempts))
+        self.store.put("keyed.op", "config", build_config(attempts, stretch))
         self.minions = [
             Minion(
                 self.record,
@@ -813,11 +829,11 @@
                     return owner
         return None
 
-    def submit(self, entry, job, steps, spec):
+    def submit(self, entry, job, steps, spec, prefix=PREFIX):
         """Submit a job; raise TimeoutError unless it is accepted."""
         body = {"spec": spec, "steps": steps}
         for _ in range(5):
-            status, _ = entry.call("POST", PREFIX + job, body)
+            status, _ = entry.call("POST", prefix + job, body)
             self.record.write("submit", job=job, entry=entry.name, status=status)
             if status == 200:
                 return
@@ -856,25 +872,30 @@
         self.ends.append((at, task, run, minion.name, how))
 
 
-def build_config(attempts):
-    """Return a config with one queue, one service and one tenant."""
+def build_config(attempts, stretch):
+    """Return a config with two queues, one service and one tenant."""
+    routes = [
+        {
+            "name": name,
+            "host": HOST_NAME,
+            "path_prefix": prefix,
+            "kind": "mutating",
+            "timeout_ms": 3000,
+            "target_latency_ms": 1000,
+            "priority": priority,
+            "service": "pool",
+            "attempts": attempts,
+            "stretch": stretch,
+            "public": False,
+        }
+        for name, prefix, priority in (
+            ("r-0", URGENT_PREFIX, 0),
+            ("r-1", PREFIX, 1),
+        )
+    ]
     return {
         "version": 7,
-        "routes": [
-            {
-                "name": "r-1",
-                "host": HOST_NAME,
-                "path_prefix": PREFIX,
-                "kind": "mutating",
-                "timeout_ms": 3000,
-                "target_latency_ms": 1000,
-                "priority": 1,
-                "service": "pool",
-                "attempts": attempts,
-                "stretch": 3.0,
-                "public": False,
-            }
-        ],
+        "routes": routes,
         "services": [
             {"name": "pool", "health_path": "/health", "rejects_overload": False}
         ],
