End the processes of a review script also after a time-out

Cause: a script killed by its time-out would have left its entries running. Change: the scripts end them on SIGTERM, and exit with 2.

--- a/review/standins/review_platform.py
+++ b/review/standins/review_platform.py
@@ -17,6 +17,7 @@
 import signal
 import socket
 import subprocess
+import sys
 import tempfile
 import threading
 import time
@@ -749,6 +750,8 @@
     def __init__(
         self, folder, *, zones, entries, minions, attempts=4, stretch=3.0
     ):
+        # Ends the processes of the entries in `stop` also after a time-out.
+        signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
         self.record = Record(pathlib.Path(folder) / "record.txt")
         self._temporary = pathlib.Path(tempfile.mkdtemp())
         self.starts = []  # (seconds, task, run, minion)
