--- a/review/2/case.py
+++ b/review/2/case.py
@@ -4,6 +4,7 @@
 jobs as `done`, and then the owner's zone loses power, with its minions.
 """
 
+import os
 import pathlib
 import sys
 import threading
@@ -14,6 +15,8 @@
 
 import review_platform as standins  # noqa: E402
 
+# With TROUBLE=0 the script does the same without the disruption.
+IS_TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 JOBS = [f"00000000000c2{number:03x}" for number in range(8)]
 TASK_S = 6.0
 STORE_DOWN_AT_S = 5.0  # after the jobs are submitted
@@ -54,7 +57,7 @@
         target=ask_all, args=(system, owner, shown), daemon=True
     ).start()
     store_back_at = float("-inf")
-    if standins.is_trouble():
+    if IS_TROUBLE:
         sleep_until(began + STORE_DOWN_AT_S)
         system.record.write("store_down", for_s=STORE_DOWN_S)
         system.store.is_down = True
@@ -87,18 +90,22 @@
 def judge(system, killed, shown, store_back_at):
     """Return 1 if a task of a job shown as done was started again.
 
-    A start counts from `contact_ms` after the return of the store, if an entry
-    without disturbance, not the one that lost power, is the owner.
+    A start counts from `contact_ms` after the return of the store, if its fence
+    is the epoch of an entry without disturbance, not of the one that lost power.
     """
     owner = system.find_owner()
-    if owner is None or (owner is killed and standins.is_trouble()):
+    if owner is None or (owner is killed and IS_TROUBLE):
         raise TimeoutError("the owner is not an entry without disturbance")
     if not shown:
         raise TimeoutError("no job was shown as done")
+    _, epoch = owner.read_owner()
     broken = False
     for at, task, run, minion in system.starts:
         seen_at = shown.get(task.split(".")[0], float("inf"))
-        if at > seen_at + SHOWN_S and at > store_back_at + CONTACT_S:
+        is_in_touch = (
+            at > store_back_at + CONTACT_S and system.fences[task, run] == epoch
+        )
+        if at > seen_at + SHOWN_S and is_in_touch:
             system.record.write(
                 "broken",
                 task=task,
@@ -107,6 +114,7 @@
                 started_at=round(at, 3),
                 shown_done_at=round(seen_at, 3),
                 owner=owner.name,
+                epoch=epoch,
             )
             broken = True
     system.record.write("verdict", broken=broken, shown=len(shown))
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,10 +1,11 @@
-"""Case 4: a task is started again while its first run works on.
+"""Case 4: a task is started again after it ended `done` on a draining minion.
 
-A minion drains, with 11 s left. The store is down for 4.5 s, so that its entry
-expires, and the minion's zone is cut off for 5 s as the store returns. The
-minion runs on under its lease.
+A minion drains, with 9 s left. The store is down for 4.5 s, so that its entry
+expires, and the minion's zone is cut off as the store returns. The task ends
+`done` meanwhile, under a lease that doesn't lapse.
 """
 
+import os
 import pathlib
 import sys
 import time
@@ -14,16 +15,18 @@
 
 import review_platform as standins  # noqa: E402
 
+# With TROUBLE=0 the script does the same without the disruption.
+IS_TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 JOB = "00000000000000c4"
 TASK = f"{JOB}.0.0.0"
-TASK_S = 12.0
+TASK_S = 9.5
 DRAIN_AT_S = 3.0  # after the start of the task
-REMAINING_S = 11.0
-STORE_DOWN_AT_S = 3.8
+REMAINING_S = 9.0  # `drain_ms` and the `linger_ms` of the site file
+STORE_DOWN_AT_S = 3.1
 STORE_DOWN_S = 4.5  # `platform_down` in the site file
-ZONE_CUT_AT_S = 7.8  # 0.5 s before the store is back
-ZONE_CUT_S = 5.0  # `zone_cut`, the default of `fleetbench kinds`
-WATCH_S = 27.0
+ZONE_CUT_AT_S = 6.1  # 1.5 s before the store is back
+ZONE_CUT_S = 4.5  # `zone_cut` has 5 s by default in `fleetbench kinds`
+WATCH_S = 22.0
 
 
 def main():
@@ -58,7 +61,7 @@
     began = time.monotonic()
     name = system.starts[0][3]
     minion = next(one for one in system.minions if one.name == name)
-    if standins.is_trouble():
+    if IS_TROUBLE:
         sleep_until(began + DRAIN_AT_S)
         minion.drain(REMAINING_S)
         sleep_until(began + STORE_DOWN_AT_S)
@@ -72,13 +75,14 @@
         sleep_until(began + ZONE_CUT_AT_S + ZONE_CUT_S)
         system.cut_zone(minion.zone, False)
     sleep_until(began + WATCH_S)
-    overlaps = standins.find_overlaps(system.starts, system.ends)
-    for task, before, after in overlaps:
-        system.record.write("broken", task=task, first=before, second=after)
+    broken = standins.find_overlaps(system.starts, system.ends)
+    broken += standins.find_starts_after_done(system)
+    for one in broken:
+        system.record.write("broken", starts=one)
     if not any(how == "done" for *_, how in system.ends):
         raise TimeoutError("the task did not end")
-    system.record.write("verdict", broken=bool(overlaps))
-    return int(bool(overlaps))
+    system.record.write("verdict", broken=bool(broken))
+    return int(bool(broken))
 
 
 def sleep_until(at):
