Showed callers only what is stored.

Callers saw jobs as done, and cancels of them acknowledged, by an end that the ledger did not have yet.

Cause: one job table served both the owner's decisions and the answers to callers. `Owner._write_record` applies each record to it when it is queued, and whatever is not stored is lost with the owner, or taken back once it is deposed.

The follower's table now holds what was read from the ledger and nothing else. The owner decides by a copy of its own, which also gets the callers' records. So no reader of the table can show what isn't stored: states of jobs, cancels, counts of waiting jobs, status pages, purges, and the entry of a deposed owner, which need not load its table anew. The end of a job is logged and counted once it is stored.

The same mixture brought a purged job back: if the history lapsed before its purge was stored, the owner read the job again without its end and ran all its tasks. Ended jobs are now left out there.

--- a/chervilcove/control/elections.py
+++ b/chervilcove/control/elections.py
@@ -146,8 +146,6 @@
         epoch, self._epoch = self._epoch, None
         self._lost_epoch = max(self._lost_epoch, epoch)
         self._follower.own_epoch = None
-        # The table may hold records that are never stored, so reload it.
-        self._follower.is_loaded = False
         self.log.warn("ownership_lost", epoch=epoch, reason=reason)
         self._on_change(None)
 
--- a/chervilcove/control/follower.py
+++ b/chervilcove/control/follower.py
@@ -1,4 +1,8 @@
-"""The follower: keeps the job table up to date with the ledger."""
+"""The follower: keeps the job table up to date with the ledger.
+
+Its table holds what was read from the ledger, and nothing else: callers must
+not be told what may still be lost with the owner.
+"""
 
 from collections.abc import Callable
 import time
@@ -55,9 +59,10 @@
         self._metrics = metrics
         self.table = table.JobTable()
         self.owner_seen_at = 0.0  # monotonic seconds
-        # Epoch in which this entry is the owner, else None. Its own records
-        # were applied to the table when they were written.
+        # Epoch in which this entry is the owner, else None.
         self.own_epoch: int | None = None
+        # Table by which that owner decides, None without one.
+        self._working_table: table.JobTable | None = None
         # Newest append of that epoch that was read back from the ledger.
         self.own_sequence = 0
         self._listeners: list[Callable[[], None]] = []
@@ -74,6 +79,18 @@
         """Add a callback for the first answer after an outage."""
         self._regain_listeners.append(listener)
 
+    def open_working_table(self) -> table.JobTable:
+        """Return a copy of the table, to which an owner applies its records.
+
+        Records of callers are added to it as they are read.
+        """
+        self._working_table = self.table.copy()
+        return self._working_table
+
+    def close_working_table(self) -> None:
+        """Add nothing more to the working table."""
+        self._working_table = None
+
     def get_silence_s(self) -> float:
         """Return the seconds since the ledger last answered."""
         return time.monotonic() - self.last_read
@@ -97,11 +114,7 @@
     def wait_until(
         self, is_met: Callable[[], bool], *, timeout_s: float
     ) -> bool:
-        """Wait until `is_met`, reading without pauses; return its result.
-
-        The owner's entry changes the table without a read, so this polls the
-        condition instead of waiting for reads.
-        """
+        """Wait until `is_met`, reading without pauses; return its result."""
         deadline = time.monotonic() + timeout_s
         self._watcher_count += 1
         self._watched.set()
@@ -119,15 +132,12 @@
             self._watched.wait(timeout=NON_OWNER_PAUSE_S)
 
     def load_snapshot(self, chunk: interfaces.Chunk) -> None:
-        """Rebuild the table from the newest record of each key.
-
-        The owner's table already holds all records of its epoch, so that only
-        those of callers and other entries are added to it.
-        """
-        if self.own_epoch is None:
-            self.table = table.JobTable()
+        """Rebuild the table from the newest record of each key."""
+        self.table = table.JobTable()
         self.is_loaded = True
         self._apply(chunk, is_live=False)
+        if self._working_table is not None:
+            self._working_table.add_calls(self.table)
         self.owner_seen_at = time.monotonic()
         self.log.info(
             "ledger_loaded",
@@ -176,13 +186,17 @@
                 continue
             if record.kind in records.OWNER_KINDS:
                 self.owner_seen_at = time.monotonic()
-            if self.own_epoch is not None and record.kind in OWNED_KINDS:
-                continue
             if record.kind is records.Kind.BEAT and record.value is not None:
                 self._record_heartbeat(record.value)
             if record.kind is records.Kind.TIME:
                 self._record_owner_time(record.value, is_live=is_live)
             self.table.apply(record)
+            if (
+                is_live
+                and self._working_table is not None
+                and record.kind not in OWNED_KINDS
+            ):
+                self._working_table.apply(record)
         self.next_offset = chunk.next_offset
         if chunk.records:
             self._advanced.set()
--- a/chervilcove/control/owners.py
+++ b/chervilcove/control/owners.py
@@ -57,7 +57,7 @@
     Args:
         epoch: Epoch of this owner.
         ledger: The job ledger.
-        follower: Holds the job table.
+        follower: Reads the ledger; the owner decides by a copy of its table.
         connector: Creates worker clients, the policy client and the feed of
             worker reports.
         get_operator_state: Returns the configuration and the evacuations in
@@ -89,7 +89,7 @@
         self._config_bounds = config_bounds
         self.epoch = epoch
         self._follower = follower
-        self._table = follower.table
+        self._table = follower.open_working_table()
         self._clock = follower.clock
         self._clock.begin_steering()
         self._get_operator_state = get_operator_state
@@ -165,6 +165,7 @@
         """Stop scheduling and sending commands immediately."""
         del timeout_s
         self.kill()
+        self._follower.close_working_table()
         self.writer.kill()
         self._grants.kill()
         self._worker_feed.stop()
@@ -589,7 +590,7 @@
         value: object,
         on_stored: Callable[[], None] | None = None,
     ) -> None:
-        """Apply a record to the job table and queue it for the ledger."""
+        """Apply a record to the working table and queue it for the ledger."""
         self._table.apply(records.Record(kind, name, value))
         self.writer.enqueue(
             records.build_key(kind, name),
@@ -645,10 +646,19 @@
         end = records.EndRecord(
             self.epoch, state.value, self._clock.get_now_ms()
         )
-        self._write_record(records.Kind.END, job.id, end)
+        self._write_record(
+            records.Kind.END,
+            job.id,
+            end,
+            lambda: self._record_stored_end(job, end),
+        )
         for name in keys:
             self._write_record(records.Kind.UNIT, name, None)
-        self._metrics.count(f"jobs.ended.{state.value}")
+
+    def _record_stored_end(
+        self, job: table.Job, end: records.EndRecord
+    ) -> None:
+        self._metrics.count(f"jobs.ended.{end.state}")
         self._metrics.record_time(
             "jobs.taken", (end.ended_ms - job.submission.accepted_ms) / 1000
         )
@@ -656,7 +666,7 @@
             "job_ended",
             job=job.id,
             queue=job.submission.queue,
-            state=state.value,
+            state=end.state,
             took_ms=end.ended_ms - job.submission.accepted_ms,
         )
 
--- a/chervilcove/jobs/table.py
+++ b/chervilcove/jobs/table.py
@@ -1,12 +1,13 @@
 """State of all jobs, built from the records of the ledger.
 
 A *unit* is what starts and ends as one: a task, or all tasks of a gang step.
-The table depends on the records only. The owner applies the same records to
-its table that the other entries read from the ledger, so that all of them hold
-the same state.
+The table depends on the records only. Each entry has one that holds what it
+read from the ledger. The owner decides by a copy, to which it applies its own
+records before they are stored.
 """
 
 from collections.abc import Iterator
+import copy
 import enum
 from typing import NamedTuple
 
@@ -113,6 +114,15 @@
         # Number of active units, by (occurrence, step).
         self._active_counts: dict[tuple[int, int], int] = {}
 
+    def copy(self) -> "Job":
+        """Return a copy that changes independently of this job."""
+        other = copy.copy(self)
+        other.units = dict(self.units)
+        other.active = set(self.active)
+        other._done = dict(self._done)
+        other._active_counts = dict(self._active_counts)
+        return other
+
     @property
     def id(self) -> str:
         """Return the id of the job."""
@@ -268,6 +278,32 @@
         elif record.kind is records.Kind.END:
             self._apply_end(record)
 
+    def copy(self) -> "JobTable":
+        """Return a copy that changes independently of this table."""
+        other = copy.copy(self)
+        other.jobs = {id: job.copy() for id, job in self.jobs.items()}
+        other.open_jobs = {id: other.jobs[id] for id in self.open_jobs}
+        other._cancels = set(self._cancels)
+        other._orphans = {
+            id: list(orphans) for id, orphans in self._orphans.items()
+        }
+        other.incarnations = dict(self.incarnations)
+        return other
+
+    def add_calls(self, other: "JobTable") -> None:
+        """Add the jobs and cancellations of callers that `other` holds.
+
+        Jobs that have ended there are left out: this table had them, and may
+        have dropped them since.
+
+        Args:
+            other: Table built from the newest records in the ledger.
+        """
+        for job in other.open_jobs.values():
+            self.apply(records.Record(records.Kind.JOB, job.id, job.submission))
+        for name in other._cancels:
+            self.apply(records.Record(records.Kind.CANCEL, name, 0))
+
     def has_record(self, key: str) -> bool:
         """Return whether a JOB or CANCEL record of this key was applied."""
         record = records.decode(key, b"")
