Acknowledged ends to the process that reported them only.

A worker that restarts under its id numbers its ends anew. An end of the earlier process that was stored after the restart raised `last_seen` for the new one, which then forgot ends that nobody had read: their runs would count as lost and start again.

Cause: the acknowledgement waits for the store and named a number without the process that it belongs to. It now names both, and is dropped if the process has changed.

tests/control/test_fleet.py, TestAcknowledgements failed before (last_seen 1 instead of 0). The stand-in of a worker now numbers its ends anew after a crash, as the platform says.

--- a/chervilcove/control/owners.py
+++ b/chervilcove/control/owners.py
@@ -328,7 +328,10 @@
         if last > session.last_seen:
             # The worker may forget these ends once the records that result
             # from them are stored.
-            self.writer.call_when_stored(lambda: session.acknowledge(last))
+            life = reply.life or session.life
+            self.writer.call_when_stored(
+                lambda: session.acknowledge(last, life=life)
+            )
 
     def _find_run(self, task: str) -> runs.Run | None:
         key = table.parse_unit_key(task)
--- a/chervilcove/control/sessions.py
+++ b/chervilcove/control/sessions.py
@@ -125,9 +125,15 @@
         ends = time.monotonic() + length_s * CLOCK_SLACK + EXPIRY_MARGIN_S
         self.expires_at = max(self.expires_at, ends)
 
-    def acknowledge(self, number: int) -> None:
-        """Acknowledge ends up to `number`, which are stored by now."""
-        if number > self.last_seen:
+    def acknowledge(self, number: int, *, life: int) -> None:
+        """Acknowledge ends up to `number`, which are stored by now.
+
+        Args:
+            number: Number of the newest of these ends.
+            life: Process of the worker that reported them. The next process
+                numbers its ends anew.
+        """
+        if life == self.life and number > self.last_seen:
             self.last_seen = number
             self._wake.set()
 
--- a/chervilcove/standins/fleet.py
+++ b/chervilcove/standins/fleet.py
@@ -197,6 +197,7 @@
         self.running.clear()
         self.ended.clear()
         self._highest_runs.clear()
+        self._end_count = 0
         self.fence = 0
 
     def restart(self, report: interfaces.WorkerReport) -> None:
--- a/tests/control/test_fleet.py
+++ b/tests/control/test_fleet.py
@@ -64,3 +64,28 @@
             systems.wait_until(lambda: len(system.list_starts()) == 4)
         finally:
             system.kill_all()
+
+
+class TestAcknowledgements:
+    def test_ends_of_an_earlier_life_acknowledge_none_of_the_next(self):
+        # Ends are numbered anew in each life. An end that was stored only
+        # after the restart let the worker forget ends that nobody had read.
+        system = systems.System(workers=1)
+        try:
+            entry = system.add_entry("a")
+            job = "00000000000000aa"
+            system.submit(entry, job, systems.build_spec())
+            worker = system.wait_for_run(f"{job}.0.0.0")
+            session = entry._owner.fleet.sessions["w0"]
+            system.ledger.is_down = True
+            worker.end(f"{job}.0.0.0", "done")
+            systems.wait_until(lambda: entry._owner.writer.backlog)
+            worker.crash()
+            worker.restart(worker.report._replace(life=2))
+            systems.wait_until(lambda: session.life == 2)
+            system.ledger.is_down = False
+            systems.wait_until(lambda: not entry._owner.writer.backlog)
+            gevent.sleep(0.2)
+            assert session.last_seen == 0
+        finally:
+            system.kill_all()
