Dropped the end of a purged job after the job itself.

These records can come into two appends. An owner lost between them leaves a job without its end and without units in the ledger, and its successor runs all its tasks again (TWICE).

The job is now dropped first. A reader that meets only the end keeps it until the ledger drops it, and no longer, so that it doesn't end a later job of the same id.

--- a/chervilcove/control/owners.py
+++ b/chervilcove/control/owners.py
@@ -678,10 +678,12 @@
         now_ms = self._clock.get_now_ms()
         for job in list(self._table.jobs.values()):
             if job.end and now_ms - job.end.ended_ms > ENDED_JOB_RETENTION_MS:
+                # The records may be dropped by several appends. A job without
+                # its end would run again.
                 for kind in (
-                    records.Kind.END,
-                    records.Kind.CANCEL,
                     records.Kind.JOB,
+                    records.Kind.CANCEL,
+                    records.Kind.END,
                 ):
                     self._write_record(kind, job.id, None)
                 self._estimates.forget(job.id)
--- a/chervilcove/jobs/table.py
+++ b/chervilcove/jobs/table.py
@@ -372,6 +372,8 @@
         if job is None:
             if record.value is not None:
                 self._orphans.setdefault(record.name, []).append(record)
+            else:
+                self._orphans.pop(record.name, None)
             return
         if record.value is None:
             return
--- a/tests/control/test_visibility.py
+++ b/tests/control/test_visibility.py
@@ -130,6 +130,30 @@
             )
         assert system.list_starts() == [(TASK, 1)]
 
+    def test_partly_purged_job_does_not_run_again(
+        self, system, entry, monkeypatch
+    ):
+        # The end was dropped before the job. A successor that read the ledger
+        # between two appends took the job for one that has not begun.
+        worker = run_job(system, entry)
+        worker.end(TASK, "done")
+        systems.wait_until(
+            lambda: JOB not in entry.job_api._follower.table.open_jobs
+        )
+        begin = len(system.ledger.records)
+        monkeypatch.setattr(owners, "ENDED_JOB_RETENTION_MS", -1)
+        monkeypatch.setattr(owners, "PURGE_INTERVAL_S", 0.0)
+        systems.wait_until(
+            lambda: JOB not in entry.job_api._follower.table.jobs
+        )
+        for end in range(begin, len(system.ledger.records)):
+            newest = {one.key: one for one in system.ledger.records[:end]}
+            read = table.JobTable()
+            for one in newest.values():
+                if one.value:
+                    read.apply(records.decode(one.key, one.value))
+            assert JOB not in read.open_jobs
+
     def test_purged_job_does_not_return_with_the_newest_records(
         self, system, entry, monkeypatch
     ):
--- a/tests/jobs/test_table.py
+++ b/tests/jobs/test_table.py
@@ -114,6 +114,15 @@
         for key, value in (("x/1", b"1"), ("u/1", b"\xc1"), ("j/1", b"\x01")):
             assert records.decode(key, value).kind == "malformed"
 
+    def test_end_that_was_dropped_does_not_end_a_later_job(self):
+        # The end was read after its job had been dropped.
+        jobs = table.JobTable()
+        end = records.EndRecord(1, table.JobState.DONE.value, 2_000)
+        for value in (end, None):
+            jobs.apply(records.Record(records.Kind.END, JOB, value))
+        jobs.apply(build_submission())
+        assert jobs.jobs[JOB].get_state() is table.JobState.QUEUED
+
 
 class TestUnitKeys:
     def test_formatted_key_is_parsed_unchanged(self):
