Kept a job shown as done from being shown as cancelled.

A job whose tasks are all stored as done is shown as done before its end is recorded, as other members of a gang may still have to be told. A cancel meanwhile showed it as cancelled, and its end then as done again. The state now depends on the tasks first, as the recorded end always did.

--- a/chervilcove/control/owners.py
+++ b/chervilcove/control/owners.py
@@ -641,8 +641,6 @@
 
     def _end_job(self, job: table.Job) -> None:
         state = job.get_state()
-        if job.is_done():
-            state = table.JobState.DONE
         for key in job.units:
             self._stop_counts.pop(key, None)
         keys = [key.format() for key in job.units]
--- a/chervilcove/jobs/table.py
+++ b/chervilcove/jobs/table.py
@@ -137,15 +137,15 @@
         """Return the state of the job."""
         if self.end is not None:
             return JobState(self.end.state)
+        # Units are done before the end of their job is recorded, since other
+        # members of a gang may not have been told to end yet.
+        if self.has_started and self.is_done():
+            return JobState.DONE
         if self.is_cancelled:
             return JobState.CANCELLED
         if self.is_failed:
             return JobState.FAILED
-        if not self.has_started:
-            return JobState.QUEUED
-        # Units are done before the end of their job is recorded, since other
-        # members of a gang may not have been told to end yet.
-        return JobState.DONE if self.is_done() else JobState.RUNNING
+        return JobState.RUNNING if self.has_started else JobState.QUEUED
 
     def get_unit(self, key: UnitKey) -> records.UnitRecord:
         """Return the record of a unit, that of a waiting one by default."""
--- a/tests/jobs/test_table.py
+++ b/tests/jobs/test_table.py
@@ -123,6 +123,15 @@
         jobs.apply(build_submission())
         assert jobs.jobs[JOB].get_state() is table.JobState.QUEUED
 
+    def test_done_job_stays_done_if_it_is_cancelled_before_its_end(self):
+        # Callers saw it as done, then as cancelled, then as done.
+        jobs = table.JobTable()
+        jobs.apply(build_submission())
+        for index in range(2):
+            jobs.apply(build_unit_record(index, table.UnitStatus.DONE))
+        jobs.apply(records.Record(records.Kind.CANCEL, JOB, 3_000))
+        assert jobs.jobs[JOB].get_state() is table.JobState.DONE
+
 
 class TestUnitKeys:
     def test_formatted_key_is_parsed_unchanged(self):
