Waited for the leases of all earlier owners.

Cause: a new owner looked at its direct predecessor only. Once that one had handed over, leases counted as renewed until then, though an owner before it may not know yet that it was replaced and renews for up to 3 s more.

A claim now names the processes that were owners before and may still renew leases, and each entry notes until when: for 4.2 s after it read the claim that followed theirs, or until their entry has started again. The record is unchanged while there are none, so that entries of earlier versions can read it.

tests/control/test_elections.py, TestEarlierOwners: two of three tests failed before, as inherited leases were waited for 1.6 and 1.8 s too short; the third one guards that hand-overs and restarts are not waited for.

--- a/chervilcove/control/core.py
+++ b/chervilcove/control/core.py
@@ -235,7 +235,6 @@
             on_deposed=self._election.step_down,
             bounds=self._bounds,
             config_bounds=self._config_bounds,
-            is_predecessor_gone=self._election.is_predecessor_gone,
             metrics=self.metrics,
         )
         self._owner.start()
--- a/chervilcove/control/elections.py
+++ b/chervilcove/control/elections.py
@@ -101,7 +101,6 @@
         self._on_change = on_change
         self._epoch: int | None = None
         self._is_leaving = False
-        self.is_predecessor_gone = False
         # Newest epoch that this entry lost; its claim is not applied again.
         self._lost_epoch = 0
         follower.add_listener(self.apply_claim)
@@ -221,8 +220,6 @@
             return
         if delay_s > STALE_CHECK_S and self._has_owner_written():
             return
-        is_gone = self._follower.table.is_owner_gone()
-        self.is_predecessor_gone = is_gone
         epoch = self._follower.table.epoch + 1
         outcome = self._append(epoch, is_resigned=False)
         self.log.info(
@@ -256,7 +253,17 @@
         )
 
     def _append(self, epoch: int, *, is_resigned: bool) -> int | errors.Refusal:
-        claim = records.Claim(epoch, self._name, self._incarnation, is_resigned)
+        claim = records.Claim(
+            epoch,
+            self._name,
+            self._incarnation,
+            is_resigned,
+            tuple(
+                process
+                for process in self._follower.list_lease_givers()
+                if process.incarnation != self._incarnation
+            ),
+        )
         item = (
             records.build_key(records.Kind.CLAIM),
             records.encode_value(claim),
--- a/chervilcove/control/fleet.py
+++ b/chervilcove/control/fleet.py
@@ -13,7 +13,6 @@
 
 from chervilcove.control import interfaces
 from chervilcove.control import sessions
-from chervilcove.control import writers
 from chervilcove.core import logs
 from chervilcove.dispatch import health
 from chervilcove.dispatch import resources as resource_values
@@ -34,8 +33,8 @@
         is_busy: Tells whether a worker has runs of this owner.
         on_renewal: Called with each answer of a worker to a renewal.
         on_deposed: Called with a reason when a worker knows a newer owner.
-        is_predecessor_gone: Whether the previous owner is known to renew no
-            more leases.
+        renewals_end: Monotonic seconds until which earlier owners may renew
+            leases.
     """
 
     def __init__(
@@ -47,7 +46,7 @@
         is_busy: Callable[[str], bool],
         on_renewal: Callable[[sessions.Renewal], None],
         on_deposed: Callable[[str], None],
-        is_predecessor_gone: bool,
+        renewals_end: float,
     ):
         self.resources = resource_values.FleetResources()
         self.health = health.WorkerHealth()
@@ -63,17 +62,9 @@
         self._on_renewal = on_renewal
         self._on_deposed = on_deposed
         # Runs of earlier owners may be alive until then on workers that don't
-        # answer. The last lease was given at most LEASE_WITHOUT_LEDGER_S after
-        # the predecessor's last stored append, whose answer may have taken up
-        # to MAX_APPEND_TIMEOUT_S.
-        grace_s = (
-            0.0
-            if is_predecessor_gone
-            else writers.MAX_APPEND_TIMEOUT_S + sessions.LEASE_WITHOUT_LEDGER_S
-        )
+        # answer.
         self.inherited_expiry = (
-            time.monotonic()
-            + grace_s
+            max(time.monotonic(), renewals_end)
             + sessions.LEASE_MS / 1000 * sessions.CLOCK_SLACK
             + sessions.EXPIRY_MARGIN_S
         )
--- a/chervilcove/control/follower.py
+++ b/chervilcove/control/follower.py
@@ -13,6 +13,7 @@
 from chervilcove.control import clocks
 from chervilcove.control import interfaces
 from chervilcove.control import readers
+from chervilcove.control import sessions
 from chervilcove.core import errors
 from chervilcove.core import metrics as metric_values
 from chervilcove.jobs import records
@@ -59,6 +60,9 @@
         self._metrics = metrics
         self.table = table.JobTable()
         self.owner_seen_at = 0.0  # monotonic seconds
+        # Earlier owners that may not know that they were replaced, and the
+        # monotonic seconds until which they may renew leases.
+        self._superseded: dict[records.Process, float] = {}
         # Epoch in which this entry is the owner, else None.
         self.own_epoch: int | None = None
         # Table by which that owner decides, None without one.
@@ -91,6 +95,33 @@
         """Add nothing more to the working table."""
         self._working_table = None
 
+    def list_lease_givers(self) -> tuple[records.Process, ...]:
+        """Return the owner and earlier owners that may still renew leases."""
+        now = time.monotonic()
+        found = {
+            process
+            for process, until in self._superseded.items()
+            if now < until and not self.table.has_ended(process)
+        }
+        if not self.table.is_owner_gone():
+            found.add(self.table.claim.process)
+        return tuple(sorted(found))
+
+    def get_renewals_end(self) -> float:
+        """Return until when owners before the newest one may renew leases.
+
+        Returns:
+            Monotonic seconds; minus infinity if none does.
+        """
+        return max(
+            (
+                until
+                for process, until in self._superseded.items()
+                if not self.table.has_ended(process)
+            ),
+            default=float("-inf"),
+        )
+
     def get_silence_s(self) -> float:
         """Return the seconds since the ledger last answered."""
         return time.monotonic() - self.last_read
@@ -134,6 +165,7 @@
     def load_snapshot(self, chunk: interfaces.Chunk) -> None:
         """Rebuild the table from the newest record of each key."""
         self.table = table.JobTable()
+        self._superseded = {}
         self.is_loaded = True
         self._apply(chunk, is_live=False)
         if self._working_table is not None:
@@ -188,6 +220,8 @@
                 self.owner_seen_at = time.monotonic()
             if record.kind is records.Kind.BEAT and record.value is not None:
                 self._record_heartbeat(record.value)
+            if record.kind is records.Kind.CLAIM and record.value is not None:
+                self._record_superseded(record.value)
             if record.kind is records.Kind.TIME:
                 self._record_owner_time(record.value, is_live=is_live)
             self.table.apply(record)
@@ -211,6 +245,23 @@
                 owner_ms, is_live=is_live and self.is_current
             )
 
+    def _record_superseded(self, claim: records.Claim) -> None:
+        """Record until when the owners before `claim` may renew leases.
+
+        None of them has stored anything since, and it renews leases for a
+        limited time after its newest stored append.
+        """
+        if claim.epoch <= self.table.epoch:
+            return
+        until = time.monotonic() + sessions.RENEWALS_WITHOUT_LEDGER_S
+        known = dict(self._superseded)
+        if self.table.claim is not None:
+            # It may have been replaced before and have become owner again.
+            known.pop(self.table.claim.process, None)
+        self._superseded = {
+            process: known.get(process, until) for process in claim.superseded
+        }
+
     def _record_heartbeat(self, beat: records.OwnerHeartbeat) -> None:
         if beat.epoch == self.own_epoch:
             self.own_sequence = max(self.own_sequence, beat.sequence)
--- a/chervilcove/control/owners.py
+++ b/chervilcove/control/owners.py
@@ -65,8 +65,6 @@
         on_deposed: Called with a reason once a newer owner is known.
         bounds: Times that the deployment guarantees.
         config_bounds: Times that it guarantees for a confirmed configuration.
-        is_predecessor_gone: Whether the previous owner is known to renew no
-            more leases.
         metrics: Metrics of this entry.
     """
 
@@ -81,7 +79,6 @@
         on_deposed: Callable[[str], None],
         bounds: round_input.ReclaimBounds,
         config_bounds: staleness.ConfigurationBounds,
-        is_predecessor_gone: bool,
         metrics: metric_values.Metrics,
     ):
         super().__init__(name="owner")
@@ -126,7 +123,7 @@
             is_busy=self._is_busy,
             on_renewal=self._queue_renewal,
             on_deposed=on_deposed,
-            is_predecessor_gone=is_predecessor_gone,
+            renewals_end=follower.get_renewals_end(),
         )
         self._commands = commands.CommandSender(
             epoch=epoch,
--- a/chervilcove/control/sessions.py
+++ b/chervilcove/control/sessions.py
@@ -13,6 +13,7 @@
 from gevent import event
 
 from chervilcove.control import interfaces
+from chervilcove.control import writers
 from chervilcove.core import errors
 from chervilcove.core import tasks
 
@@ -25,9 +26,13 @@
 RETRY_S = 0.25  # pause after a failed renewal
 ACKNOWLEDGE_WAIT_S = 0.5  # maximum wait for reported ends to be stored
 # Renewals continue for this long after the newest stored append was sent. With
-# the lease itself, running tasks survive a ledger outage of 9 s. A successor
-# that can't reach a worker waits for as long before it restarts runs.
+# the lease itself, running tasks survive a ledger outage of 9 s.
 LEASE_WITHOUT_LEDGER_S = 3.0
+# An owner that was replaced gives no leases for longer than this after the
+# claim that followed its own, which its newest stored append preceded.
+RENEWALS_WITHOUT_LEDGER_S = (
+    LEASE_WITHOUT_LEDGER_S + writers.MAX_APPEND_TIMEOUT_S
+)
 
 
 class Renewal(NamedTuple):
--- a/chervilcove/jobs/records.py
+++ b/chervilcove/jobs/records.py
@@ -141,6 +141,18 @@
     ended_ms: int
 
 
+class Process(NamedTuple):
+    """One process of an entry.
+
+    Attributes:
+        entry: Name of the entry.
+        incarnation: Incarnation of the entry, which identifies the process.
+    """
+
+    entry: str
+    incarnation: str
+
+
 class Claim(NamedTuple):
     """Claim that makes an entry the owner.
 
@@ -149,12 +161,20 @@
         entry: Name of the entry.
         incarnation: Incarnation of the entry, which identifies its process.
         is_resigned: Whether the entry gave up the ownership.
+        superseded: Processes that were owners before and may still renew
+            leases, as they may not know the claims that followed theirs.
     """
 
     epoch: int
     entry: str
     incarnation: str
     is_resigned: bool = False
+    superseded: tuple[Process, ...] = ()
+
+    @property
+    def process(self) -> Process:
+        """Return the process that wrote the claim."""
+        return Process(self.entry, self.incarnation)
 
 
 class OwnerHeartbeat(NamedTuple):
@@ -203,10 +223,10 @@
 def encode_value(value: Any) -> bytes:
     """Return `value` as msgpack; a named tuple becomes an array.
 
-    The crashes of a unit are left out if there are none, so that entries of
-    versions without that field can read its record.
+    The last field of a unit or a claim is left out if it is empty, so that
+    entries of versions without that field can read the record.
     """
-    if isinstance(value, UnitRecord) and not value.crashes:
+    if isinstance(value, (UnitRecord, Claim)) and not value[-1]:
         return _encoder.encode(value[:-1])
     return _encoder.encode(value)
 
--- a/chervilcove/jobs/table.py
+++ b/chervilcove/jobs/table.py
@@ -319,8 +319,12 @@
         """Return whether there is no owner or its process has surely ended."""
         if self.claim is None or self.claim.is_resigned:
             return True
-        known = self.incarnations.get(self.claim.entry)
-        return known is not None and known != self.claim.incarnation
+        return self.has_ended(self.claim.process)
+
+    def has_ended(self, process: records.Process) -> bool:
+        """Return whether a later process of the same entry has started."""
+        known = self.incarnations.get(process.entry)
+        return known is not None and known != process.incarnation
 
     def count_queued_jobs(self, queue: str, now_ms: int) -> int:
         """Return the number of jobs of `queue` that are due and not started."""
--- a/tests/control/test_elections.py
+++ b/tests/control/test_elections.py
@@ -1,7 +1,10 @@
+import time
+
 import gevent
 
 from chervilcove.control import elections
 from chervilcove.control import interfaces
+from chervilcove.control import sessions
 from chervilcove.core import errors
 from chervilcove.jobs import records
 from tests.control import system as systems
@@ -179,6 +182,70 @@
         assert [claim.epoch for claim in list_claims(system)] == [1]
 
 
+class TestEarlierOwners:
+    """Owners that don't know that they were replaced may renew leases."""
+
+    def cut_off_owner(self, system):
+        """Cut an owner off from the ledger; return its entry and the time."""
+        first = system.add_entry("a")
+        systems.wait_until(lambda: first._owner)
+        first._owner.writer.kill()
+        first._follower.kill()
+        return first, time.monotonic()
+
+    def replace_owner(self, system, name, *, resigns):
+        entry = system.add_entry(name)
+        systems.wait_until(lambda: entry._owner)
+        if resigns:
+            entry._election.resign()
+        return entry
+
+    def get_last_lease_end(self, cut_at):
+        return (
+            cut_at + sessions.LEASE_WITHOUT_LEDGER_S + sessions.LEASE_MS / 1000
+        )
+
+    def test_leases_of_the_owner_before_the_last_one_are_waited_for(
+        self, system
+    ):
+        # In review/1 an owner was cut off, the next one was asked to stop, and
+        # the third one started tasks again under leases of the first one.
+        _, cut_at = self.cut_off_owner(system)
+        third = system.add_entry("c")
+        systems.wait_until(lambda: third.job_api._follower.is_current)
+        third._election._is_leaving = True
+        second = system.add_entry("b")
+        systems.wait_until(lambda: second._owner)
+        third._election._is_leaving = False
+        second._election.resign()
+        systems.wait_until(lambda: third._owner)
+        fleet = third._owner.fleet
+        assert fleet.inherited_expiry >= self.get_last_lease_end(cut_at)
+
+    def test_entry_that_starts_later_waits_for_them_as_well(self, system):
+        _, cut_at = self.cut_off_owner(system)
+        self.replace_owner(system, "b", resigns=True)
+        fleet = self.replace_owner(system, "c", resigns=False)._owner.fleet
+        assert fleet.inherited_expiry >= self.get_last_lease_end(cut_at)
+
+    def test_owner_that_hands_over_or_has_ended_is_not_waited_for(self, system):
+        first, _ = self.cut_off_owner(system)
+        second = self.replace_owner(system, "b", resigns=False)
+        first.kill()
+        again = system.add_entry("a")
+        systems.wait_until(
+            lambda: (
+                second._follower.table.incarnations.get(first._identity)
+                == again.incarnation
+            )
+        )
+        again._election._is_leaving = True
+        second._election.resign()
+        third = self.replace_owner(system, "c", resigns=False)
+        left_s = third._owner.fleet.inherited_expiry - time.monotonic()
+        assert left_s < sessions.LEASE_MS / 1000 * 1.1
+
+
 class TestClaimDelay:
     """Many entries find the owner silent at the same time."""
 
