Refused odd entries of minions where they are read.

Reported by operators of similar systems, and it happened here: one entry with `remaining_ms` of 400 digits among those of the minions, and nobody's jobs started as long as it stood. The owner's task ended with an OverflowError every 0.5 s, and a new owner met the same entry. An entry with deep nesting ended the feed, which then left out all entries behind it in the same read. An odd host, port or key let its session fail again and again.

Cause: fields were checked for their type where they are decoded, not for their range, and nesting raises an error that the decoder didn't catch. The fault came out later, in the one task that serves all.

Ranges are now part of the fields' types (`platform/fields.py`), the address has to be an IP address with a port, and the key has to fit into a header.

--- a/chervilcove/platform/feeds.py
+++ b/chervilcove/platform/feeds.py
@@ -9,6 +9,7 @@
 from chervilcove.core import errors
 from chervilcove.jobs import configuration
 from chervilcove.jobs import specs
+from chervilcove.platform import fields
 from chervilcove.platform import store
 
 EVACUATION_PREFIX = "evacuate/"
@@ -61,9 +62,9 @@
 class _Capacity(msgspec.Struct):
     """JSON format of the total resources of a minion."""
 
-    cpu: int
-    mem_mb: int
-    gpu: int = 0
+    cpu: fields.Count
+    mem_mb: fields.Count
+    gpu: fields.Count = 0
 
 
 class _Minion(msgspec.Struct):
@@ -75,9 +76,9 @@
     state: str
     capacity: _Capacity
     labels: list[str] = []
-    clock_ms: int = 0
-    born: int = 0
-    remaining_ms: int = 0
+    clock_ms: fields.Integer = 0
+    born: fields.Count = 0
+    remaining_ms: fields.Integer = 0
     machine: str = ""
 
 
@@ -130,13 +131,21 @@
         return minion
     if minion.state not in ("ready", "draining"):
         return errors.refuse(
-            errors.Kind.MALFORMED, f"unknown state {minion.state!r}"
+            errors.Kind.MALFORMED, f"unknown state {minion.state[:80]!r}"
+        )
+    if not fields.is_token(key):
+        return errors.refuse(
+            errors.Kind.MALFORMED, f"the key is not an id: {key[:80]!r}"
         )
     try:
         address = store.parse_address(minion.addr)
     except ValueError:
+        address = None
+    if address is None or not (
+        fields.is_ip_address(address.host) and address.port
+    ):
         return errors.refuse(
-            errors.Kind.MALFORMED, f"addr is not IP:port: {minion.addr!r}"
+            errors.Kind.MALFORMED, f"addr is not IP:port: {minion.addr[:80]!r}"
         )
     return interfaces.WorkerReport(
         id=key,
@@ -151,7 +160,7 @@
             minion.capacity.cpu, minion.capacity.mem_mb, minion.capacity.gpu
         ),
         is_draining=minion.state == "draining",
-        leaves_in_ms=minion.remaining_ms,
+        leaves_in_ms=max(0, minion.remaining_ms),
         clock_ms=minion.clock_ms,
         machine=minion.machine,
     )
--- a/chervilcove/platform/store.py
+++ b/chervilcove/platform/store.py
@@ -73,10 +73,13 @@
     """Return the address in `text`, which has the form "IP:port".
 
     Raises:
-        ValueError: The port is missing or not a number.
+        ValueError: The port is missing or not a number from 0 to 65535.
     """
-    host, _, port = text.rpartition(":")
-    return Address(host, int(port))
+    host, _, digits = text.rpartition(":")
+    port = int(digits)
+    if not 0 <= port < 2**16:
+        raise ValueError(f"no such port: {port}")
+    return Address(host, port)
 
 
 def create_peer(address: Address) -> http.HttpPeer:
@@ -268,7 +271,7 @@
     """Return the JSON in `body` decoded as type `shape`, or a refusal."""
     try:
         return msgspec.json.decode(body, type=shape)
-    except msgspec.MsgspecError as error:
+    except (msgspec.MsgspecError, RecursionError) as error:
         return errors.refuse(errors.Kind.BAD_ANSWER, str(error))
 
 
--- /dev/null
+++ b/tests/platform/test_malformed_documents.py
@@ -0,0 +1,145 @@
+"""What others write may cost only its writer, whatever it holds."""
+
+import json
+
+import hypothesis
+import pytest
+
+from chervilcove.control import interfaces
+from chervilcove.core import errors
+from chervilcove.jobs import records
+from chervilcove.platform import feeds
+from tests.control import system as systems
+from tests.platform import odd_values
+from tests.platform import standin
+
+JOB = "00000000000000aa"
+TASK = f"{JOB}.0.0.0"
+BODY = {"spec": "(text)", "steps": [{"count": 1, "cpu": 500, "gpu": 1}]}
+ENTRY = {
+    "service": "pool",
+    "addr": "127.0.0.1:1",
+    "zone": "giza",
+    "state": "draining",
+    "capacity": {"cpu": 64000, "mem_mb": 131072, "gpu": 8},
+    "labels": ["a", "r1-0"],
+    "clock_ms": 1,
+    "born": 1,
+    "remaining_ms": 1000,
+    "machine": "m",
+}
+
+
+def put_raw(platform, topic, key, content):
+    platform.store.get_topic(topic).append([(key, content)], timeout_s=1)
+
+
+def run_job(platform, peer, job=JOB):
+    """Submit a job; return the worker that runs it."""
+    reply = peer.call(
+        "POST",
+        f"/batch/{job}",
+        body=json.dumps(BODY).encode(),
+        headers={"Host": "jobs.example", "X-Chervilcove-Key": "key-1"},
+    )
+    assert reply.status == 200
+    return systems.wait_until(
+        lambda: next(
+            (
+                minion.worker
+                for minion in platform.minions
+                if f"{job}.0.0.0" in minion.worker.running
+            ),
+            None,
+        )
+    )
+
+
+class TestMinionEntries:
+    """Operators met an odd entry that stopped whoever read the list."""
+
+    def check_report(self, content):
+        report = feeds.parse_minion("i-9", content)
+        if errors.is_refusal(report):
+            return
+        assert 0 < report.port < 2**16
+        assert 0 <= report.leaves_in_ms / 1000 < float("inf")
+        assert all(amount >= 0 for amount in report.capacity)
+        place = records.Place(report.id, report.life)
+        assert records.encode_value(place)
+        assert isinstance(report, interfaces.WorkerReport)
+
+    def test_report_of_an_odd_entry_is_refused_or_safe_to_use(self):
+        for content in odd_values.list_odd_documents(ENTRY):
+            self.check_report(content)
+
+    @odd_values.settings
+    @hypothesis.given(odd_values.build_odd_documents(ENTRY))
+    def test_report_of_a_generated_entry_is_refused_or_safe_to_use(
+        self, content
+    ):
+        self.check_report(content)
+
+    def test_each_odd_entry_is_refused_with_a_reason(self):
+        cases = {
+            "addr": "host:80",
+            "addr ": "127.0.0.1:0",
+            "addr  ": "127.0.0.1:65536",
+            "addr   ": "a\r\nb:80",
+            "remaining_ms": 10**400,
+            "born": -1,
+            "state": "asleep",
+            "labels": [1],
+            "capacity": {"cpu": -1, "mem_mb": 1, "gpu": 1},
+        }
+        for name, value in cases.items():
+            entry = {**ENTRY, name.strip(): value}
+            report = feeds.parse_minion("i-9", odd_values.encode(entry))
+            assert errors.is_refusal(report), name
+            assert name.strip() in report.reason, report.reason
+
+    @pytest.mark.parametrize("key", ["", "a\r\nb", "a b", "\u00b2", "\ufffd"])
+    def test_key_that_names_no_minion_is_refused(self, key):
+        content = odd_values.encode(ENTRY)
+        assert errors.is_refusal(feeds.parse_minion(key, content))
+
+    @pytest.mark.parametrize(
+        "entry",
+        [
+            {**ENTRY, "remaining_ms": 10**400},
+            {**ENTRY, "version": odd_values.ODD_VALUES[-1]},
+            {**ENTRY, "addr": "\u00e4" * 70 + ":80"},
+            {**ENTRY, "addr": "127.0.0.1:99999"},
+            {**ENTRY, "addr": "127.0.0.1\r\nX:80"},
+        ],
+        ids=["number", "nesting", "host", "port", "header"],
+    )
+    def test_jobs_of_others_start_beside_an_odd_entry(
+        self, platform, peer, entry
+    ):
+        # A number with 400 digits ended the owner's task every 0.5 s, and
+        # nobody's jobs started as long as the entry stood.
+        run_job(platform, peer).end(TASK, "done")
+        put_raw(platform, "keyed.servers", "i-9", odd_values.encode(entry))
+        other = "00000000000000bb"
+        run_job(platform, peer, other).end(f"{other}.0.0.0", "done")
+
+    def test_entries_behind_an_odd_one_are_read(self, platform, peer):
+        # Nesting ended the feed, which left out what stood behind the entry.
+        run_job(platform, peer).end(TASK, "done")
+        name = platform.minions[0].worker.report.id
+        record = standin.build_minion_record(platform.minions[0])
+        odd = [
+            (f"i-{number + 100}", content)
+            for number, content in enumerate(
+                odd_values.list_odd_documents(ENTRY)
+            )
+        ]
+        drained = json.dumps({**record, "state": "draining"}).encode()
+        platform.store.get_topic("keyed.servers").append(
+            [*odd, (name, drained)], timeout_s=1
+        )
+        owner = platform.entry._owner
+        systems.wait_until(lambda: owner.fleet.reports[name].is_draining)
+        other = "00000000000000bb"
+        run_job(platform, peer, other).end(f"{other}.0.0.0", "done")
