Refused odd answers of minions where they are read.

The owner's round ended with an exception, and again at each further answer. A text in place of the percentage ended the minion's session every 0.5 s, but the minion still counted as reachable: what ran there was never started elsewhere.

Cause: the rows were decoded without types, so that the fault came out in the owner's round; names of tasks with digits that are not ASCII, or with thousands of them, raised there too. And a session whose renewal raises kept the state of its last good answer.

Rows now have types and ranges, an answer outside of them is refused as a whole, and unit names take up to nine ASCII digits a part. A renewal that raises counts as unanswered, so that the runs on that worker end with their lease.

The two tests that read odd and generated answers call a function that is new here.

--- a/chervilcove/control/sessions.py
+++ b/chervilcove/control/sessions.py
@@ -147,14 +147,24 @@
         self._wake.set()
 
     def run(self) -> None:
-        """Renew the lease until stopped."""
+        """Renew the lease until stopped.
+
+        A renewal that raises counts as unanswered: runs on a worker that can't
+        be understood end with their lease.
+        """
         if self._delay_s:
             self.sleep(self._delay_s)
         while not self.is_stopping:
             if not self._may_renew():
                 self.sleep(RETRY_S)
                 continue
-            self._renew()
+            try:
+                self._renew()
+            except Exception as error:  # noqa: BLE001
+                reason = f"{type(error).__name__}: {error}"
+                self._handle_failure(
+                    errors.refuse(errors.Kind.INTERNAL, reason)
+                )
 
     def _renew(self) -> None:
         is_busy = self._is_busy(self.report.id)
--- a/chervilcove/jobs/table.py
+++ b/chervilcove/jobs/table.py
@@ -16,6 +16,8 @@
 from chervilcove.jobs import records
 from chervilcove.jobs import specs
 
+MAX_INDEX_DIGITS = 9  # of an occurrence, a step or a task
+
 
 class UnitStatus(enum.IntEnum):
     """Status of a unit."""
@@ -59,11 +61,17 @@
 def parse_unit_key(name: str) -> UnitKey | errors.Refusal:
     """Return the key of the unit `name`, or a refusal if it is malformed."""
     parts = name.split(".")
-    if len(parts) in (3, 4) and all(one.isdigit() for one in parts[1:]):
+    if len(parts) in (3, 4) and all(_is_index(one) for one in parts[1:]):
         numbers = [int(one) for one in parts[1:]]
         index = numbers[2] if len(numbers) == 3 else None
         return UnitKey(parts[0], numbers[0], numbers[1], index)
-    return errors.refuse(errors.Kind.MALFORMED, f"malformed unit name {name!r}")
+    return errors.refuse(
+        errors.Kind.MALFORMED, f"malformed unit name {name[:80]!r}"
+    )
+
+
+def _is_index(text: str) -> bool:
+    return text.isascii() and text.isdigit() and len(text) <= MAX_INDEX_DIGITS
 
 
 WAITING_UNIT = records.UnitRecord(0, 0, UnitStatus.WAITING, (), "", ())
--- a/chervilcove/platform/minion_client.py
+++ b/chervilcove/platform/minion_client.py
@@ -1,12 +1,14 @@
 """HTTP client of one minion, which the control plane calls a worker."""
 
 from typing import Any
+from typing import Literal
 
 import msgspec
 
 from chervilcove.control import interfaces
 from chervilcove.core import errors
 from chervilcove.core import http
+from chervilcove.platform import fields
 from chervilcove.platform import store
 
 CONNECTIONS = 10  # one lease renewal and a burst of concurrent starts
@@ -24,25 +26,45 @@
 class _CommandResponse(msgspec.Struct):
     """Response to a command, or a refusal, which has a `reason`."""
 
-    clock_ms: int = 0
+    clock_ms: fields.Integer = 0
     reason: str = ""
 
 
+class _RunningRow(msgspec.Struct, array_like=True):
+    """Row of a lease response about a running task."""
+
+    task: str
+    run: fields.Count
+    saved: str
+    percent: fields.Number
+    load: fields.Number | None = None
+
+
+class _EndedRow(msgspec.Struct, array_like=True):
+    """Row of a lease response about the end of a run."""
+
+    number: fields.Count
+    task: str
+    run: fields.Count
+    how: Literal["done", "failed", "stopped", "lapsed", "broken", "alone"]
+    saved: str = ""
+
+
 class _LeaseResponse(msgspec.Struct):
     """Response to a lease renewal.
 
     Attributes:
         clock_ms: Clock of the minion in milliseconds.
-        running: Rows of task, run, checkpoint, percent and load.
-        ended_runs: Rows of number, task, run, how the run ended and checkpoint.
+        running: Tasks that run there.
+        ended_runs: Ends that are not acknowledged yet.
         born: Unix milliseconds of the start of the minion's process, 0 if
             unknown.
     """
 
-    clock_ms: int
-    running: list[list[Any]]
-    ended_runs: list[list[Any]]
-    born: int = 0
+    clock_ms: fields.Integer
+    running: list[_RunningRow]
+    ended_runs: list[_EndedRow]
+    born: fields.Count = 0
 
 
 class MinionClient(interfaces.WorkerClient):
@@ -116,21 +138,7 @@
             return reply
         if reply.status != 200:
             return _convert_error(reply)
-        try:
-            answer = msgspec.json.decode(reply.body, type=_LeaseResponse)
-            return interfaces.LeaseReply(
-                clock_ms=answer.clock_ms,
-                life=answer.born,
-                running=[_parse_running_task(row) for row in answer.running],
-                ended=[
-                    interfaces.EndedRun(*row[:5]) for row in answer.ended_runs
-                ],
-            )
-        except (msgspec.MsgspecError, TypeError, IndexError) as error:
-            return errors.refuse(
-                errors.Kind.BAD_ANSWER,
-                f"invalid response to a lease renewal: {error}",
-            )
+        return parse_lease_response(reply.body)
 
     def close(self) -> None:
         """Close all connections."""
@@ -164,9 +172,29 @@
         return reply
 
 
-def _parse_running_task(row: list[Any]) -> interfaces.RunningTask:
-    load = float(row[4]) if len(row) > 4 and row[4] is not None else 0.0
-    return interfaces.RunningTask(row[0], row[1], row[2], float(row[3]), load)
+def parse_lease_response(
+    body: bytes,
+) -> interfaces.LeaseReply | errors.Refusal:
+    """Return the answer to a lease renewal that `body` encodes as JSON."""
+    answer = store.decode(body, _LeaseResponse)
+    if errors.is_refusal(answer):
+        return answer
+    return interfaces.LeaseReply(
+        clock_ms=answer.clock_ms,
+        life=answer.born,
+        running=[
+            interfaces.RunningTask(
+                row.task, row.run, row.saved, row.percent, row.load or 0.0
+            )
+            for row in answer.running
+        ],
+        ended=[
+            interfaces.EndedRun(
+                row.number, row.task, row.run, row.how, row.saved
+            )
+            for row in answer.ended_runs
+        ],
+    )
 
 
 def _convert_error(reply: http.Reply) -> errors.Refusal:
--- a/tests/control/test_fleet.py
+++ b/tests/control/test_fleet.py
@@ -1,6 +1,7 @@
 import gevent
 
 from chervilcove.control import fleet as fleets
+from chervilcove.control import sessions as module
 from chervilcove.jobs import specs
 from tests.control import system as systems
 
@@ -35,6 +36,25 @@
         finally:
             system.kill_all()
 
+    def test_run_restarts_if_renewals_of_its_worker_raise(
+        self, system, monkeypatch
+    ):
+        # The session ended every 0.5 s, its worker stayed reachable, and the
+        # run neither ended nor started elsewhere.
+        monkeypatch.setattr(module, "LEASE_MS", 1_000)
+        entry = system.add_entry("a")
+        job = "00000000000000aa"
+        system.submit(entry, job, systems.build_spec())
+        worker = system.wait_for_run(f"{job}.0.0.0")
+
+        def raise_error(**_):
+            gevent.sleep(0.01)
+            raise ValueError("odd")
+
+        monkeypatch.setattr(worker, "renew_lease", raise_error)
+        systems.wait_until(lambda: len(system.list_starts()) == 2)
+        assert len(worker.starts) == 1
+
 
 class TestCapacity:
     def test_shrunken_worker_gets_only_tasks_that_fit(self):
--- a/tests/platform/test_malformed_documents.py
+++ b/tests/platform/test_malformed_documents.py
@@ -2,13 +2,18 @@
 
 import json
 
+import gevent
 import hypothesis
 import pytest
 
 from chervilcove.control import interfaces
+from chervilcove.control import sessions
 from chervilcove.core import errors
+from chervilcove.core import web
 from chervilcove.jobs import records
+from chervilcove.jobs import table
 from chervilcove.platform import feeds
+from chervilcove.platform import minion_client
 from tests.control import system as systems
 from tests.platform import odd_values
 from tests.platform import standin
@@ -16,6 +21,12 @@
 JOB = "00000000000000aa"
 TASK = f"{JOB}.0.0.0"
 BODY = {"spec": "(text)", "steps": [{"count": 1, "cpu": 500, "gpu": 1}]}
+HOLD_ANSWER = {
+    "clock_ms": 482113,
+    "born": 1,
+    "running": [[TASK, 1, "c0", 41, 0.5]],
+    "ended_runs": [[58, f"{JOB}.0.0.1", 1, "done", ""]],
+}
 ENTRY = {
     "service": "pool",
     "addr": "127.0.0.1:1",
@@ -143,3 +154,101 @@
         systems.wait_until(lambda: owner.fleet.reports[name].is_draining)
         other = "00000000000000bb"
         run_job(platform, peer, other).end(f"{other}.0.0.0", "done")
+
+
+class OddMinion:
+    """Minion that gives one odd answer to all renewals."""
+
+    def __init__(self, minion):
+        self.minion = minion
+        self.answer = None
+        self.answer_count = 0
+        self._hold = minion._hold
+        minion.server._routes = [
+            (method, pattern, self.hold if "hold" in pattern.pattern else one)
+            for method, pattern, one in minion.server._routes
+        ]
+
+    def hold(self, request):
+        if self.answer is None:
+            return self._hold(request)
+        gevent.sleep(0.1)
+        self.answer_count += 1
+        return web.WebResponse(200, self.answer)
+
+
+class TestMinionAnswers:
+    """An odd answer to a renewal ended the round, so that all jobs waited."""
+
+    def renew(self, content):
+        """Return the result of a renewal that is answered by `content`."""
+        return minion_client.parse_lease_response(content)
+
+    def check_reply(self, content):
+        reply = self.renew(content)
+        if errors.is_refusal(reply):
+            return
+        assert 0 <= reply.life < 2**63
+        for row in reply.running:
+            assert isinstance(row.task, str)
+            assert 0 <= row.run < 2**63
+        for end in reply.ended:
+            assert isinstance(end.task, str)
+            assert 0 <= end.number < 2**63
+            table.parse_unit_key(end.task)
+
+    def test_odd_reply_is_refused_or_safe_to_use(self):
+        for content in odd_values.list_odd_documents(HOLD_ANSWER):
+            self.check_reply(content)
+
+    @odd_values.settings
+    @hypothesis.given(odd_values.build_odd_documents(HOLD_ANSWER))
+    def test_generated_reply_is_refused_or_safe_to_use(self, content):
+        self.check_reply(content)
+
+    @pytest.mark.parametrize(
+        "change",
+        [
+            {"clock_ms": 10**400},
+            {"running": [[TASK, "1", "", 41]]},
+            {"running": [[None, 1, "", 41]]},
+            {"running": [[[TASK], 1, "", 41]]},
+            {"running": [["j.\u00b2.0.0", 1, "", 41]]},
+            {"running": [[TASK, 1, "", "41"]]},
+            {"running": [[TASK]]},
+            {"ended_runs": [["1", TASK, 1, "done", ""]]},
+            {"ended_runs": [[1, None, 1, "done", ""]]},
+            {"ended_runs": [[1, "j.0.0.\u00b2", 1, "done", ""]]},
+            {"ended_runs": [[1, TASK, 1, None, ""]]},
+            {"born": 10**400},
+        ],
+    )
+    def test_jobs_of_others_run_beside_an_odd_answer(
+        self, platform, peer, change
+    ):
+        odd = OddMinion(platform.minions[0])
+        run_job(platform, peer).end(TASK, "done")
+        odd.answer = odd_values.encode({**HOLD_ANSWER, **change})
+        systems.wait_until(lambda: odd.answer_count >= 2)
+        for number in range(3):
+            job = f"{number:016x}"
+            run_job(platform, peer, job).end(f"{job}.0.0.0", "done")
+
+    def test_run_restarts_if_its_minion_gives_odd_answers_only(
+        self, platform, peer, monkeypatch
+    ):
+        # The session ended every 0.5 s, but the minion counted as reachable,
+        # and what ran on it never ended and never started elsewhere.
+        monkeypatch.setattr(sessions, "LEASE_MS", 1_000)
+        worker = run_job(platform, peer)
+        minion = next(one for one in platform.minions if one.worker is worker)
+        OddMinion(minion).answer = odd_values.encode(
+            {**HOLD_ANSWER, "running": [[TASK, 1, "", "much"]]}
+        )
+        systems.wait_until(
+            lambda: any(
+                TASK in one.worker.running
+                for one in platform.minions
+                if one is not minion
+            )
+        )
