Refused odd configurations and policy answers where they are read.

No caller reported it. A number of a queue that msgpack can't hold came into the record of a job, whose submission then failed. Nesting ended the feed of the configuration for 0.5 s. A negative validity of the policy's tickets was taken as it is.

An odd configuration is logged and the one in force stays.

tests/platform/test_odd_records.py: on both tests that read odd and generated configurations failed; the one with odd records beside running work passed. The test of the policy calls a function that is new here; without the range it failed.

--- a/chervilcove/platform/feeds.py
+++ b/chervilcove/platform/feeds.py
@@ -27,11 +27,11 @@
     host: str
     path_prefix: str
     service: str
-    priority: int = 1
-    attempts: int = 1
-    stretch: float = 3.0
-    target_latency_ms: float = 0
-    timeout_ms: float = 3_000
+    priority: fields.Integer = 1
+    attempts: fields.Integer = 1
+    stretch: fields.Number = 3.0
+    target_latency_ms: fields.Number = 0
+    timeout_ms: fields.Number = 3_000
     public: bool = False
     advice: Any = None
 
@@ -41,19 +41,19 @@
 
     name: str
     api_keys: list[str] = []
-    guaranteed: dict[str, int] = {}
+    guaranteed: dict[str, fields.Integer] = {}
 
 
 class _Limits(msgspec.Struct):
     """JSON format of the limits of requests."""
 
-    max_body_bytes: int = 262_144
+    max_body_bytes: fields.Integer = 262_144
 
 
 class _Config(msgspec.Struct):
     """JSON format of the configuration."""
 
-    version: int
+    version: fields.Integer
     routes: list[_Route]
     tenants: list[_Tenant] = []
     limits: _Limits = msgspec.field(default_factory=_Limits)
--- a/chervilcove/platform/policy_client.py
+++ b/chervilcove/platform/policy_client.py
@@ -1,10 +1,13 @@
 """HTTP client of the placement policy service."""
 
+from typing import Annotated
+
 import msgspec
 
 from chervilcove.control import interfaces
 from chervilcove.core import errors
 from chervilcove.core import http
+from chervilcove.platform import fields
 from chervilcove.platform import store
 
 CONNECTIONS = 1  # the service handles one call at a time per machine
@@ -20,7 +23,7 @@
     """
 
     granted: list[tuple[str, str]]
-    valid_ms: float
+    valid_ms: Annotated[float, msgspec.Meta(ge=0, le=fields.MAX_INTEGER)]
 
 
 class PolicyClient(interfaces.PlacementPolicy):
@@ -57,9 +60,12 @@
                 errors.Kind.BUSY,
                 f"policy service answered status {reply.status}",
             )
-        answer = store.decode(reply.body, _PolicyResponse)
-        if errors.is_refusal(answer):
-            return answer
-        return interfaces.PolicyGrants(
-            dict(answer.granted), answer.valid_ms / 1000
-        )
+        return parse_response(reply.body)
+
+
+def parse_response(body: bytes) -> interfaces.PolicyGrants | errors.Refusal:
+    """Return the grants that `body` encodes as JSON, or a refusal."""
+    answer = store.decode(body, _PolicyResponse)
+    if errors.is_refusal(answer):
+        return answer
+    return interfaces.PolicyGrants(dict(answer.granted), answer.valid_ms / 1000)
