Left out records of the ledger that no owner can act on.

No caller reported it. A record of a unit that its job does not have ended each new owner as it adopted its runs, so that nobody's jobs started. Deep nesting raised in the follower, an unknown state of a job in each answer about it, and a port that is no number in each relayed submission.

Cause: a record was checked for its types, not against what it refers to.

States are now part of the types, a job is checked like a submitted one, and a unit has to belong to its job. What fails is logged and left out, as malformed records were before. An epoch that is too large to be followed is not covered: only owners write claims.

--- a/chervilcove/control/relays.py
+++ b/chervilcove/control/relays.py
@@ -156,8 +156,12 @@
     """Return the address in the identity "NAME@HOST:PORT" of an entry.
 
     Returns:
-        None if it has no port: the entry takes no records of others.
+        None if it has no valid port: the entry takes no records of others.
     """
     _, _, address = entry.rpartition("@")
-    host, colon, port = address.rpartition(":")
-    return (host, int(port)) if colon and port.isdigit() else None
+    host, colon, digits = address.rpartition(":")
+    try:
+        port = int(digits)
+    except ValueError:
+        return None
+    return (host, port) if colon and 0 < port < 2**16 else None
--- a/chervilcove/jobs/records.py
+++ b/chervilcove/jobs/records.py
@@ -8,7 +8,9 @@
 """
 
 import enum
+from typing import Annotated
 from typing import Any
+from typing import Literal
 from typing import NamedTuple
 
 import msgspec
@@ -115,7 +117,7 @@
 
     epoch: int
     run: int
-    status: int
+    status: Literal[0, 1, 2]
     failed: tuple[int, ...]
     checkpoint: str
     places: tuple[Place, ...]
@@ -137,7 +139,7 @@
     """
 
     epoch: int
-    state: str
+    state: Literal["done", "failed", "cancelled"]
     ended_ms: int
 
 
@@ -196,7 +198,7 @@
     Kind.END: EndRecord,
     Kind.CLAIM: Claim,
     Kind.BEAT: OwnerHeartbeat,
-    Kind.TIME: int,
+    Kind.TIME: Annotated[int, msgspec.Meta(ge=0, le=specs.MAX_TIME_MS)],
 }
 
 
@@ -241,8 +243,10 @@
         raw = _decoder.decode(value)
         if kind in (Kind.CANCEL, Kind.ENTRY):
             return Record(kind, name, raw)
-        return Record(kind, name, msgspec.convert(raw, VALUE_TYPES[kind]))
-    except (ValueError, msgspec.MsgspecError) as error:
+        record = Record(kind, name, msgspec.convert(raw, VALUE_TYPES[kind]))
+    except (ValueError, RecursionError, msgspec.MsgspecError) as error:
         return errors.refuse(
             errors.Kind.MALFORMED, f"cannot decode record {key}: {error}"
         )
+    refusal = specs.check_spec(record.value.spec) if kind is Kind.JOB else None
+    return record if refusal is None else refusal
--- a/chervilcove/jobs/table.py
+++ b/chervilcove/jobs/table.py
@@ -159,6 +159,18 @@
         """Return the record of a unit, that of a waiting one by default."""
         return self.units.get(key, WAITING_UNIT)
 
+    def has_unit(self, key: UnitKey) -> bool:
+        """Return whether the job has a unit of this key."""
+        if not (
+            0 <= key.occurrence < self.spec.occurrences
+            and 0 <= key.step < len(self.spec.steps)
+        ):
+            return False
+        step = self.spec.steps[key.step]
+        if step.is_gang or key.index is None:
+            return step.is_gang and key.index is None
+        return key.index < step.count
+
     def count_units(self, step: int) -> int:
         """Return the number of units of `step` in one occurrence."""
         described = self.spec.steps[step]
@@ -376,7 +388,7 @@
                 self._orphans.setdefault(key.job, []).append(record)
         elif record.value is None:
             job.active.discard(key)
-        elif job.end is None:
+        elif job.end is None and job.has_unit(key):
             job.set_unit(key, record.value)
 
     def _apply_end(self, record: records.Record) -> None:
--- a/tests/platform/test_odd_records.py
+++ b/tests/platform/test_odd_records.py
@@ -3,8 +3,10 @@
 import json
 
 import hypothesis
+import pytest
 
 from chervilcove.core import errors
+from chervilcove.core import http
 from chervilcove.jobs import records
 from chervilcove.jobs import specs
 from chervilcove.platform import feeds
@@ -74,3 +76,67 @@
             if not errors.is_refusal(grants):
                 assert 0 <= grants.valid_s < 2**53
                 assert all(isinstance(one, str) for one in grants.tickets)
+
+
+class TestLedgerRecords:
+    """An entry of another version may write what this one can't read."""
+
+    values = (
+        specs.JobSpec("", (specs.Step(0, specs.Resources(1, 1, 1)),)),
+        specs.JobSpec("", ()),
+        specs.JobSpec("", (specs.Step(1, specs.Resources(-1, 1, 1)),)),
+    )
+
+    def list_odd_records(self):
+        """Return keys and values of records about the job calls.JOB."""
+        unit = records.UnitRecord(
+            1, 1, 1, (), "", (records.Place("i-0", 1),), ()
+        )
+        claim = records.Claim(1, "a@127.0.0.1:\u00b2", "b")
+        found = [
+            (f"u/{calls.JOB}.{place}", records.encode_value(unit))
+            for place in ("0.0.9", "0.9.0", "9.0.0", "0.0", "0.0.\u00b2")
+        ]
+        for state in ("", "asleep"):
+            value = records.encode_value(records.EndRecord(1, state, 1))
+            found.append((f"e/{calls.JOB}", value))
+        for spec in self.values:
+            job = "00000000000000cc"
+            value = records.Submission(job, "r-1", "pool", "t", 1, spec)
+            found.append((f"j/{job}", records.encode_value(value)))
+        found += [
+            (kind.value, b"\x91" * 5_000 + b"\xc0") for kind in records.Kind
+        ]
+        found += [("time", records.encode_value(-(2**63)))]
+        found += [("owner", records.encode_value(claim))]
+        return found
+
+    @pytest.mark.parametrize("status", [-1, 9, 2**63, "", None])
+    def test_unit_of_an_unknown_status_is_refused(self, status):
+        unit = records.UnitRecord(1, 1, status, (), "", ())
+        value = records.encode_value(unit)
+        assert errors.is_refusal(records.decode(f"u/{calls.JOB}.0.0.0", value))
+
+    def test_successor_serves_beside_odd_records(self, platform, peer):
+        # A unit that its job doesn't have ended each new owner at once.
+        worker = calls.run_job(platform, peer)
+        platform.entry.kill()
+        platform.store.get_topic("keyed.ledger").append(
+            self.list_odd_records(), timeout_s=1
+        )
+        platform.start_entry()
+        entry = platform.entry
+        systems.wait_until(lambda: entry._owner)
+        systems.wait_until(lambda: entry._operator_feed.get().configuration)
+        client = http.HttpPeer(host="127.0.0.1", port=entry.caller_server.port)
+        reply = calls.call(client, "GET", calls.JOB)
+        assert json.loads(reply.body) == {"state": "running"}
+        worker.end(calls.TASK, "done")
+        systems.wait_until(
+            lambda: (
+                json.loads(calls.call(client, "GET", calls.JOB).body)
+                == {"state": "done"}
+            )
+        )
+        other = "00000000000000bb"
+        calls.run_job(platform, client, other).end(f"{other}.0.0.0", "done")
