Isolated the steps of a round from each other.

A round now carries out the reports, each renewal, each worker's lost runs, each job's end, each move and the planning one by one (`control/isolation.py`). What raises is logged as `round_step_failed` and counted in `rounds.failed_steps`. A worker whose answer can't be processed counts as not reachable and gets no lease, so that its runs start elsewhere once their leases have ended.

An exception while the round is planned still keeps all starts back; ends, stops and leases go on.

--- a/chervilcove/control/owners.py
+++ b/chervilcove/control/owners.py
@@ -22,6 +22,7 @@
 from chervilcove.control import follower as followers
 from chervilcove.control import grants
 from chervilcove.control import interfaces
+from chervilcove.control import isolation
 from chervilcove.control import owner_writer
 from chervilcove.control import run_monitor
 from chervilcove.control import runs
@@ -125,6 +126,9 @@
             on_deposed=on_deposed,
             renewals_end=follower.get_renewals_end(),
         )
+        self._isolation = isolation.FaultIsolation(
+            log=self.log, metrics=metrics
+        )
         self._commands = commands.CommandSender(
             epoch=epoch,
             fleet=self.fleet,
@@ -263,22 +267,38 @@
 
     def _run_round(self) -> None:
         if self._new_reports is not None:
-            known = set(self.fleet.resources.by_worker)
-            self.fleet.set_reports(self._new_reports)
-            self._new_reports = None
-            self._occupy_new_workers(known)
+            reports, self._new_reports = self._new_reports, None
+            self._isolation.attempt("", self._apply_reports, reports)
         renewals, self._new_renewals = self._new_renewals, []
         for renewal in renewals:
-            self._process_renewal(renewal)
-        self._end_lost_runs()
-        self._close_jobs()
-        self._run_monitor.move_runs()
+            session = self.fleet.sessions.get(renewal.worker)
+            if session is not None:
+                session.is_understood = self._isolation.attempt(
+                    renewal.worker, self._process_renewal, renewal, session
+                )
+        for worker, keys in list(self._runs_by_worker.items()):
+            if keys:
+                self._isolation.attempt(worker, self._end_lost_runs, worker)
+        self.fleet.drop_unlisted()
+        for job in list(self._table.open_jobs.values()):
+            self._isolation.attempt(job.id, self._close_job, job)
+        for run in list(self._runs.values()):
+            self._isolation.attempt(
+                run.key.format(), self._run_monitor.move_run, run
+            )
         self._commands.send_stops()
-        self._schedule()
+        self._isolation.attempt("", self._schedule)
         if time.monotonic() - self._purged_at > PURGE_INTERVAL_S:
             self._purged_at = time.monotonic()
             self._purge_expired()
 
+    def _apply_reports(
+        self, reports: dict[str, interfaces.WorkerReport]
+    ) -> None:
+        known = set(self.fleet.resources.by_worker)
+        self.fleet.set_reports(reports)
+        self._occupy_new_workers(known)
+
     def _occupy_new_workers(self, known: set[str]) -> None:
         """Allocate resources for adopted runs on workers listed since then."""
         for worker in set(self.fleet.resources.by_worker) - known:
@@ -290,10 +310,9 @@
                     ):
                         self.fleet.resources.allocate(member.placed)
 
-    def _process_renewal(self, renewal: sessions.Renewal) -> None:
-        session = self.fleet.sessions.get(renewal.worker)
-        if session is None:
-            return
+    def _process_renewal(
+        self, renewal: sessions.Renewal, session: sessions.Session
+    ) -> None:
         reply = renewal.reply
         listed: set[tuple[str, int]] = set()
         for row in reply.running:
@@ -533,33 +552,29 @@
                 time.monotonic() + LASTING_RESTART_DELAY_S
             )
 
-    def _end_lost_runs(self) -> None:
-        """End runs on workers whose lease has certainly expired."""
+    def _end_lost_runs(self, worker: str) -> None:
+        """End the runs on a worker whose lease has certainly expired."""
         now = time.monotonic()
-        for worker, keys in list(self._runs_by_worker.items()):
-            if not keys:
-                continue
-            session = self.fleet.sessions.get(worker)
-            if session is not None and session.is_reachable:
-                continue
-            if now < self.fleet.get_lease_expiry(worker):
-                continue
-            has_left = self.fleet.has_announced_departure(worker)
-            for key in list(keys):
-                run = self._runs[key]
-                for member in run.members:
-                    if (
-                        member.place.worker == worker
-                        and member.phase is not runs.Phase.ENDED
-                    ):
-                        # A start without an answer may never have come.
-                        member.has_crashed_worker = (
-                            member.phase is runs.Phase.KNOWN and not has_left
-                        )
-                        self._end_member(run, member, "lost")
-            self._record_ends(worker)
-            self.fleet.health.record_unresponsive(worker, now)
-        self.fleet.drop_unlisted()
+        session = self.fleet.sessions.get(worker)
+        if session is not None and session.is_reachable:
+            return
+        if now < self.fleet.get_lease_expiry(worker):
+            return
+        has_left = self.fleet.has_announced_departure(worker)
+        for key in list(self._runs_by_worker[worker]):
+            run = self._runs[key]
+            for member in run.members:
+                if (
+                    member.place.worker == worker
+                    and member.phase is not runs.Phase.ENDED
+                ):
+                    # A start without an answer may never have come.
+                    member.has_crashed_worker = (
+                        member.phase is runs.Phase.KNOWN and not has_left
+                    )
+                    self._end_member(run, member, "lost")
+        self._record_ends(worker)
+        self.fleet.health.record_unresponsive(worker, now)
 
     # Jobs.
 
@@ -599,38 +614,37 @@
         queue = config and config.queues.get(job.submission.queue)
         return queue or job.submission.build_queue()
 
-    def _close_jobs(self) -> None:
-        """Stop cancelled and failed jobs; record the ends of jobs."""
-        for job in list(self._table.open_jobs.values()):
-            queue = self._get_queue(job)
-            if not job.is_failed and (
-                job.max_unit_failures >= queue.attempts or job.has_crashing_task
-            ):
-                job.is_failed = True
-                self.log.info(
-                    "job_failed",
-                    job=job.id,
-                    failures=job.max_unit_failures,
-                    attempts=queue.attempts,
-                    crashes_workers=job.has_crashing_task,
-                )
-            if job.is_cancelled or job.is_failed:
-                reason = "cancelled" if job.is_cancelled else "job failed"
-                for key in list(job.active):
-                    run = self._runs.get(key)
-                    if run is not None and not run.stop_reason:
-                        self._commands.stop(run, reason)
-            is_over = (
-                job.is_cancelled
-                or job.is_failed
-                or (not job.active and job.is_done())
+    def _close_job(self, job: table.Job) -> None:
+        """Stop a cancelled or failed job; record the end of a job."""
+        queue = self._get_queue(job)
+        if not job.is_failed and (
+            job.max_unit_failures >= queue.attempts or job.has_crashing_task
+        ):
+            job.is_failed = True
+            self.log.info(
+                "job_failed",
+                job=job.id,
+                failures=job.max_unit_failures,
+                attempts=queue.attempts,
+                crashes_workers=job.has_crashing_task,
             )
-            if (
-                is_over
-                and not job.active
-                and not any(key in self._runs for key in job.units)
-            ):
-                self._end_job(job)
+        if job.is_cancelled or job.is_failed:
+            reason = "cancelled" if job.is_cancelled else "job failed"
+            for key in list(job.active):
+                run = self._runs.get(key)
+                if run is not None and not run.stop_reason:
+                    self._commands.stop(run, reason)
+        is_over = (
+            job.is_cancelled
+            or job.is_failed
+            or (not job.active and job.is_done())
+        )
+        if (
+            is_over
+            and not job.active
+            and not any(key in self._runs for key in job.units)
+        ):
+            self._end_job(job)
 
     def _end_job(self, job: table.Job) -> None:
         state = job.get_state()
--- a/chervilcove/control/run_monitor.py
+++ b/chervilcove/control/run_monitor.py
@@ -41,16 +41,15 @@
         self._get_step = get_step
         self._log = logs.Log(source="tender")
 
-    def move_runs(self) -> None:
-        """Stop runs that should restart on another worker."""
+    def move_run(self, run: runs.Run) -> None:
+        """Stop a run that should restart on another worker."""
         now = time.monotonic()
-        for run in list(self._runs.values()):
-            step = self._get_step(run.key)
-            if run.stop_reason or step.is_lasting or run.is_recorded_done:
-                continue
-            for member in run.members:
-                if member.phase is runs.Phase.KNOWN:
-                    self._check_member(run, member, step, now)
+        step = self._get_step(run.key)
+        if run.stop_reason or step.is_lasting or run.is_recorded_done:
+            return
+        for member in run.members:
+            if member.phase is runs.Phase.KNOWN:
+                self._check_member(run, member, step, now)
 
     def _check_member(
         self, run: runs.Run, member: runs.Member, step: specs.Step, now: float
--- a/chervilcove/control/sessions.py
+++ b/chervilcove/control/sessions.py
@@ -87,6 +87,8 @@
         self.last_seen = 0
         self.last_answer: float | None = None
         self._is_unreachable = False
+        # Whether the owner could process the newest answer.
+        self.is_understood = True
         self._epoch = epoch
         self._on_renewal = on_renewal
         self._on_deposed = on_deposed
@@ -99,8 +101,15 @@
 
     @property
     def is_reachable(self) -> bool:
-        """Tell whether the worker answered its newest renewal."""
-        return self.last_answer is not None and not self._is_unreachable
+        """Tell whether the worker gave an answer to its newest renewal.
+
+        An answer that could not be processed counts as none.
+        """
+        return (
+            self.last_answer is not None
+            and not self._is_unreachable
+            and self.is_understood
+        )
 
     def estimate_clock_ms(self) -> int:
         """Return the estimated clock of the worker, 0 while it is unknown.
@@ -172,10 +181,14 @@
         if self.last_answer is None or self._is_unreachable:
             wait_ms = 0  # get the present state of the worker first
         # A lease ends at a time on the worker's clock, which is unknown until
-        # its first answer. An unreachable worker gets no lease either, so
-        # that its runs end.
+        # its first answer. A worker that is unreachable or isn't understood
+        # gets no lease either, so that its runs end.
         until_ms = 0
-        if self._clock is not None and not self._is_unreachable:
+        if (
+            self._clock is not None
+            and not self._is_unreachable
+            and self.is_understood
+        ):
             until_ms = self.estimate_clock_ms() + LEASE_MS
             self.record_lease(until_ms)
         asked = time.monotonic()
