Took odd answers of the store for unknown outcomes.

An append that the store answers with 200 and a body that can't be read raised in the task of the writer, and a value that isn't base64 in that of the reader. The first is now an unknown outcome, which is repeated under the same number; the second a read that failed.

tests/platform/test_odd_records.py, TestStoreAnswers failed before with an AttributeError.

--- a/chervilcove/platform/store.py
+++ b/chervilcove/platform/store.py
@@ -128,7 +128,10 @@
         if errors.is_refusal(reply):
             return reply
         if reply.status == 200:
-            return decode(reply.body, _AppendResponse).offset
+            answer = decode(reply.body, _AppendResponse)
+            if errors.is_refusal(answer):
+                return answer._replace(kind=errors.Kind.OUTCOME_UNKNOWN)
+            return answer.offset
         if reply.status == 409:
             return _parse_conflict(reply.body, fence)
         return _refuse_unexpected_status(reply)
@@ -181,12 +184,17 @@
             if first_end is None:
                 first_end = page.end_offset
             last_end = max(last_end, page.end_offset)
-            records += [
-                interfaces.KeyedRecord(
-                    item.offset, item.key, base64.b64decode(item.value or "")
-                )
-                for item in page.items
-            ]
+            try:
+                records += [
+                    interfaces.KeyedRecord(
+                        item.offset,
+                        item.key,
+                        base64.b64decode(item.value or ""),
+                    )
+                    for item in page.items
+                ]
+            except ValueError as error:
+                return errors.refuse(errors.Kind.BAD_ANSWER, str(error))
             if not page.has_more or not page.items:
                 break
             query["after"] = page.items[-1].key
--- a/tests/platform/test_odd_records.py
+++ b/tests/platform/test_odd_records.py
@@ -7,10 +7,12 @@
 
 from chervilcove.core import errors
 from chervilcove.core import http
+from chervilcove.core import web
 from chervilcove.jobs import records
 from chervilcove.jobs import specs
 from chervilcove.platform import feeds
 from chervilcove.platform import policy_client
+from chervilcove.platform import store
 from tests.control import system as systems
 from tests.platform import calls
 from tests.platform import odd_values
@@ -140,3 +142,37 @@
         )
         other = "00000000000000bb"
         calls.run_job(platform, client, other).end(f"{other}.0.0.0", "done")
+
+
+class TestStoreAnswers:
+    @pytest.fixture
+    def topic(self):
+        """Return a topic of a store that gives one answer to all calls."""
+        server = web.WebServer(host="127.0.0.1")
+        self.answer = b""
+        for method in ("GET", "POST"):
+            server.add_route(
+                method, ".*", lambda _: web.WebResponse(200, self.answer)
+            )
+        server.start()
+        peer = store.create_peer(store.Address("127.0.0.1", server.port))
+        yield store.KeyedTopic(peer=peer, topic="keyed.x")
+        peer.close()
+        server.stop()
+
+    def test_odd_answers_are_refused(self, topic):
+        # An append that was answered 200 raised in the writer's task.
+        page = {
+            "items": [{"key": "a", "value": "AA==", "offset": 1}],
+            "end_offset": 2,
+            "has_more": False,
+        }
+        for document in ({"offset": 1, "end_offset": 2}, page):
+            for content in odd_values.list_odd_documents(document):
+                self.answer = content
+                topic.append([("a", b"b")], timeout_s=1.0)
+                topic.read_newest(timeout_s=1.0)
+                topic.read(0, wait_s=0.0, timeout_s=1.0)
+        self.answer = b"[]"
+        outcome = topic.append([("a", b"b")], timeout_s=1.0)
+        assert outcome.kind is errors.Kind.OUTCOME_UNKNOWN
