Named loop variables and cases of tests more clearly.

No change of behaviour. A comprehension hid the built-in `id`, an import had an alias because of a local variable, and the cases of a test were told apart by trailing spaces in their keys.

--- a/chervilcove/jobs/table.py
+++ b/chervilcove/jobs/table.py
@@ -301,11 +301,11 @@
     def copy(self) -> "JobTable":
         """Return a copy that changes independently of this table."""
         other = copy.copy(self)
-        other.jobs = {id: job.copy() for id, job in self.jobs.items()}
-        other.open_jobs = {id: other.jobs[id] for id in self.open_jobs}
+        other.jobs = {name: job.copy() for name, job in self.jobs.items()}
+        other.open_jobs = {name: other.jobs[name] for name in self.open_jobs}
         other._cancels = set(self._cancels)
         other._orphans = {
-            id: list(orphans) for id, orphans in self._orphans.items()
+            name: list(orphans) for name, orphans in self._orphans.items()
         }
         other.incarnations = dict(self.incarnations)
         return other
--- a/tests/control/test_fleet.py
+++ b/tests/control/test_fleet.py
@@ -1,7 +1,7 @@
 import gevent
 
 from chervilcove.control import fleet as fleets
-from chervilcove.control import sessions as module
+from chervilcove.control import sessions
 from chervilcove.jobs import specs
 from tests.control import system as systems
 
@@ -19,19 +19,19 @@
             first.kill()
             entry = system.add_entry("b")
             owner = systems.wait_until(lambda: entry._owner)
-            sessions = systems.wait_until(
+            opened = systems.wait_until(
                 lambda: (
                     owner.fleet.sessions
                     if len(owner.fleet.sessions) == count
                     else None
                 )
             )
-            delays = sorted(one._delay_s for one in sessions.values())
+            delays = sorted(one._delay_s for one in opened.values())
             assert delays[: fleets.SESSIONS_AT_ONCE] == [0.0] * 40
             assert delays[-1] > fleets.SESSIONS_AT_ONCE * 0.001
-            assert sessions[busy]._delay_s == 0.0
+            assert opened[busy]._delay_s == 0.0
             systems.wait_until(
-                lambda: all(one.is_reachable for one in sessions.values())
+                lambda: all(one.is_reachable for one in opened.values())
             )
         finally:
             system.kill_all()
@@ -41,7 +41,7 @@
     ):
         # The session ended every 0.5 s, its worker stayed reachable, and the
         # run neither ended nor started elsewhere.
-        monkeypatch.setattr(module, "LEASE_MS", 1_000)
+        monkeypatch.setattr(sessions, "LEASE_MS", 1_000)
         entry = system.add_entry("a")
         job = "00000000000000aa"
         system.submit(entry, job, systems.build_spec())
--- a/tests/platform/test_odd_minions.py
+++ b/tests/platform/test_odd_minions.py
@@ -67,22 +67,21 @@
         self.check_report(content)
 
     def test_each_odd_entry_is_refused_with_a_reason(self):
-        cases = {
-            "addr": "host:80",
-            "addr ": "127.0.0.1:0",
-            "addr  ": "127.0.0.1:65536",
-            "addr   ": "a\r\nb:80",
-            "remaining_ms": 10**400,
-            "born": -1,
-            "state": "asleep",
-            "labels": [1],
-            "capacity": {"cpu": -1, "mem_mb": 1, "gpu": 1},
-        }
-        for name, value in cases.items():
-            entry = {**ENTRY, name.strip(): value}
-            report = feeds.parse_minion("i-9", odd_values.encode(entry))
+        for name, value in (
+            ("addr", "host:80"),
+            ("addr", "127.0.0.1:0"),
+            ("addr", "127.0.0.1:65536"),
+            ("addr", "a\r\nb:80"),
+            ("remaining_ms", 10**400),
+            ("born", -1),
+            ("state", "asleep"),
+            ("labels", [1]),
+            ("capacity", {"cpu": -1, "mem_mb": 1, "gpu": 1}),
+        ):
+            content = odd_values.encode({**ENTRY, name: value})
+            report = feeds.parse_minion("i-9", content)
             assert errors.is_refusal(report), name
-            assert name.strip() in report.reason, report.reason
+            assert name in report.reason, report.reason
 
     @pytest.mark.parametrize("key", ["", "a\r\nb", "a b", "\u00b2", "\ufffd"])
     def test_key_that_names_no_minion_is_refused(self, key):
