--- a/chervilcove/core/catalogue.py
+++ b/chervilcove/core/catalogue.py
@@ -92,6 +92,12 @@
         "Rounds that start nothing, as an evacuation may have been missed.",
         "Search the log of the owner for `source=notices event=feed_lost`.",
     ),
+    Metric(
+        "rounds.failed_steps",
+        "counter",
+        "Steps of a round that raised an exception; the others went on.",
+        "Above 0: search the log of the owner for `round_step_failed`.",
+    ),
     Metric(
         "runs.ordered",
         "counter",
