Kept jobs that an earlier version had accepted.

Records of the ledger were checked with the limits of submissions, which had become narrower.

Stored jobs are now checked by what an owner can't act on, as submissions were checked before; the new limits are for callers only.

tests/jobs/test_table.py, test_job_accepted_by_an_earlier_version_is_kept failed before.

--- a/chervilcove/jobs/records.py
+++ b/chervilcove/jobs/records.py
@@ -248,5 +248,8 @@
         return errors.refuse(
             errors.Kind.MALFORMED, f"cannot decode record {key}: {error}"
         )
-    refusal = specs.check_spec(record.value.spec) if kind is Kind.JOB else None
-    return record if refusal is None else refusal
+    if kind is Kind.JOB:
+        refusal = specs.check_stored_spec(record.value.spec)
+        if refusal is not None:
+            return refusal
+    return record
--- a/chervilcove/jobs/specs.py
+++ b/chervilcove/jobs/specs.py
@@ -11,7 +11,7 @@
 MAX_TASKS = 20_000  # per job; the whole fleet must be able to run 27,000
 MAX_PAYLOAD_BYTES = 4_000  # as documented for callers
 MAX_VALUE = 2**40  # of each number in a spec; keeps sums within 64 bits
-MAX_TIME_MS = 2**53  # of a time; keeps those of all occurrences exact
+MAX_TIME_MS = 2**53  # of a time; exact in all JSON implementations
 
 
 class Resources(NamedTuple):
@@ -106,17 +106,31 @@
 
 
 def check_spec(spec: JobSpec) -> errors.Refusal | None:
-    """Return a refusal if `spec` is invalid, else None."""
+    """Return a refusal if a submitted `spec` is invalid, else None."""
+    if not 0 <= spec.first_due_ms <= MAX_TIME_MS:
+        return _refuse("first_due_ms", f"0 to {MAX_TIME_MS}")
+    if not 0 <= spec.interval_ms <= MAX_VALUE:
+        return _refuse("interval_ms", f"0 to {MAX_VALUE}")
+    for number, step in enumerate(spec.steps):
+        if not 0 <= step.most_per_worker <= MAX_VALUE:
+            return _refuse(
+                f"steps[{number}].most_per_worker", f"0 to {MAX_VALUE}"
+            )
+    return check_stored_spec(spec)
+
+
+def check_stored_spec(spec: JobSpec) -> errors.Refusal | None:
+    """Return a refusal if no owner can act on a stored `spec`, else None.
+
+    Limits for callers may become narrower, but a job that was accepted before
+    must not be lost.
+    """
     if len(spec.payload.encode()) > MAX_PAYLOAD_BYTES:
         return _refuse("spec", f"payload of at most {MAX_PAYLOAD_BYTES} bytes")
     if not 1 <= len(spec.steps) <= MAX_STEPS:
         return _refuse("steps", f"1 to {MAX_STEPS} steps")
     if not 1 <= spec.occurrences <= MAX_TASKS:
         return _refuse("occurrences", f"1 to {MAX_TASKS}")
-    if not 0 <= spec.first_due_ms <= MAX_TIME_MS:
-        return _refuse("first_due_ms", f"0 to {MAX_TIME_MS}")
-    if not 0 <= spec.interval_ms <= MAX_VALUE:
-        return _refuse("interval_ms", f"0 to {MAX_VALUE}")
     if sum(step.count for step in spec.steps) > MAX_TASKS:
         return _refuse("steps", f"at most {MAX_TASKS} tasks")
     for number, step in enumerate(spec.steps):
@@ -130,13 +144,7 @@
     where = f"steps[{number}]"
     if step.count < 1:
         return _refuse(f"{where}.count", "at least 1")
-    numbers = (
-        *step.need,
-        step.estimate_ms,
-        step.target_ms,
-        step.may_miss,
-        step.most_per_worker,
-    )
+    numbers = (*step.need, step.estimate_ms, step.target_ms, step.may_miss)
     if any(not 0 <= each <= MAX_VALUE for each in numbers):
         return _refuse(where, f"numbers from 0 to {MAX_VALUE}")
     if any(not 0 <= each < number for each in step.after):
--- a/tests/jobs/test_table.py
+++ b/tests/jobs/test_table.py
@@ -114,6 +114,19 @@
         for key, value in (("x/1", b"1"), ("u/1", b"\xc1"), ("j/1", b"\x01")):
             assert records.decode(key, value).kind == "malformed"
 
+    def test_job_accepted_by_an_earlier_version_is_kept(self):
+        # Limits that are new for callers left stored jobs out of the ledger.
+        step = specs.Step(1, NEED, most_per_worker=-1)
+        for record in (
+            build_submission(step),
+            build_submission(occurrences=2, first_due_ms=-1),
+            build_submission(occurrences=2, interval_ms=2**53),
+        ):
+            value = records.encode_value(record.value)
+            key = records.build_key(record.kind, record.name)
+            assert records.decode(key, value) == record
+            assert specs.check_spec(record.value.spec) is not None
+
     def test_end_that_was_dropped_does_not_end_a_later_job(self):
         # The end was read after its job had been dropped.
         jobs = table.JobTable()
