--- a/chervilcove/control/elections.py
+++ b/chervilcove/control/elections.py
@@ -260,7 +260,7 @@
             is_resigned,
             tuple(
                 process
-                for process in self._follower.list_lease_givers()
+                for process in self._follower.list_renewing_owners()
                 if process.incarnation != self._incarnation
             ),
         )
--- a/chervilcove/control/fleet.py
+++ b/chervilcove/control/fleet.py
@@ -2,8 +2,8 @@
 
 A run may start again elsewhere once its worker says that it is gone, or once no
 lease that any owner gave can live (`Fleet.get_lease_expiry`). Nothing else
-shows that a run has ended. A missing report may mean a worker that can't reach
-the store, and a worker may leave later than it announced.
+shows that a run has ended: a worker without a report may only be unable to
+reach the store, and a worker may leave later than it announced.
 """
 
 from collections.abc import Callable
@@ -142,10 +142,10 @@
         return worker in self._leave_times
 
     def get_lease_expiry(self, worker: str) -> float:
-        """Return until when runs on a worker can live that doesn't answer.
+        """Return when the last lease of a worker has certainly ended.
 
         Returns:
-            Monotonic seconds.
+            Monotonic seconds; later if the worker gets another lease.
         """
         session = self.sessions.get(worker)
         if session is None:
--- a/chervilcove/control/follower.py
+++ b/chervilcove/control/follower.py
@@ -95,7 +95,7 @@
         """Add nothing more to the working table."""
         self._working_table = None
 
-    def list_lease_givers(self) -> tuple[records.Process, ...]:
+    def list_renewing_owners(self) -> tuple[records.Process, ...]:
         """Return the owner and earlier owners that may still renew leases."""
         now = time.monotonic()
         found = {
@@ -108,7 +108,7 @@
         return tuple(sorted(found))
 
     def get_renewals_end(self) -> float:
-        """Return until when owners before the newest one may renew leases.
+        """Return the time until which replaced owners may renew leases.
 
         Returns:
             Monotonic seconds; minus infinity if none does.
@@ -246,17 +246,16 @@
             )
 
     def _record_superseded(self, claim: records.Claim) -> None:
-        """Record until when the owners before `claim` may renew leases.
+        """Record until when owners replaced by now may renew leases.
 
-        None of them has stored anything since, and it renews leases for a
-        limited time after its newest stored append.
+        A time that was recorded by an earlier claim is kept.
         """
         if claim.epoch <= self.table.epoch:
             return
-        until = time.monotonic() + sessions.RENEWALS_WITHOUT_LEDGER_S
+        until = time.monotonic() + sessions.RENEWALS_AFTER_CLAIM_S
         known = dict(self._superseded)
         if self.table.claim is not None:
-            # It may have been replaced before and have become owner again.
+            # This claim replaces it, maybe for the second time.
             known.pop(self.table.claim.process, None)
         self._superseded = {
             process: known.get(process, until) for process in claim.superseded
--- a/chervilcove/control/isolation.py
+++ b/chervilcove/control/isolation.py
@@ -1,8 +1,7 @@
 """Isolation of faults: what one worker or job causes must not stop the others.
 
-Documents are checked where they are read. This is for what these checks miss:
-an exception in the owner's one task would end the round for all, and again in
-each further round.
+Documents are checked where they are read, but an exception that is not foreseen
+would end the owner's round for all workers and jobs, and each further round.
 """
 
 from collections.abc import Callable
--- a/chervilcove/control/owners.py
+++ b/chervilcove/control/owners.py
@@ -268,7 +268,7 @@
     def _run_round(self) -> None:
         if self._new_reports is not None:
             reports, self._new_reports = self._new_reports, None
-            self._isolation.attempt("", self._apply_reports, reports)
+            self._isolation.attempt("reports", self._apply_reports, reports)
         renewals, self._new_renewals = self._new_renewals, []
         for renewal in renewals:
             session = self.fleet.sessions.get(renewal.worker)
@@ -287,7 +287,7 @@
                 run.key.format(), self._run_monitor.move_run, run
             )
         self._commands.send_stops()
-        self._isolation.attempt("", self._schedule)
+        self._isolation.attempt("starts", self._schedule)
         if time.monotonic() - self._purged_at > PURGE_INTERVAL_S:
             self._purged_at = time.monotonic()
             self._purge_expired()
@@ -683,8 +683,8 @@
         now_ms = self._clock.get_now_ms()
         for job in list(self._table.jobs.values()):
             if job.end and now_ms - job.end.ended_ms > ENDED_JOB_RETENTION_MS:
-                # The records may be dropped by several appends. A job without
-                # its end would run again.
+                # These may come into several appends. A job that is still in
+                # the ledger when its end is dropped would run again.
                 for kind in (
                     records.Kind.JOB,
                     records.Kind.CANCEL,
--- a/chervilcove/control/sessions.py
+++ b/chervilcove/control/sessions.py
@@ -28,11 +28,10 @@
 # Renewals continue for this long after the newest stored append was sent. With
 # the lease itself, running tasks survive a ledger outage of 9 s.
 LEASE_WITHOUT_LEDGER_S = 3.0
-# An owner that was replaced gives no leases for longer than this after the
-# claim that followed its own, which its newest stored append preceded.
-RENEWALS_WITHOUT_LEDGER_S = (
-    LEASE_WITHOUT_LEDGER_S + writers.MAX_APPEND_TIMEOUT_S
-)
+# An owner that can't hear that it was replaced renews leases for at most this
+# long after the claim that replaced it. Its newest stored append was sent
+# before that claim; the answer may have taken up to MAX_APPEND_TIMEOUT_S.
+RENEWALS_AFTER_CLAIM_S = LEASE_WITHOUT_LEDGER_S + writers.MAX_APPEND_TIMEOUT_S
 
 
 class Renewal(NamedTuple):
@@ -87,7 +86,7 @@
         self.last_seen = 0
         self.last_answer: float | None = None
         self._is_unreachable = False
-        # Whether the owner could process the newest answer.
+        # Whether the owner could process the newest answer; the owner sets it.
         self.is_understood = True
         self._epoch = epoch
         self._on_renewal = on_renewal
--- a/chervilcove/jobs/table.py
+++ b/chervilcove/jobs/table.py
@@ -9,6 +9,7 @@
 from collections.abc import Iterator
 import copy
 import enum
+import re
 from typing import NamedTuple
 
 from chervilcove.core import errors
@@ -16,7 +17,8 @@
 from chervilcove.jobs import records
 from chervilcove.jobs import specs
 
-MAX_INDEX_DIGITS = 9  # of an occurrence, a step or a task
+_NUMBER = r"\.([0-9]{1,9})"
+_UNIT_NAME = re.compile(rf"([^.]*){_NUMBER}{_NUMBER}(?:{_NUMBER})?")
 
 
 class UnitStatus(enum.IntEnum):
@@ -60,18 +62,13 @@
 
 def parse_unit_key(name: str) -> UnitKey | errors.Refusal:
     """Return the key of the unit `name`, or a refusal if it is malformed."""
-    parts = name.split(".")
-    if len(parts) in (3, 4) and all(_is_index(one) for one in parts[1:]):
-        numbers = [int(one) for one in parts[1:]]
-        index = numbers[2] if len(numbers) == 3 else None
-        return UnitKey(parts[0], numbers[0], numbers[1], index)
-    return errors.refuse(
-        errors.Kind.MALFORMED, f"malformed unit name {name[:80]!r}"
-    )
-
-
-def _is_index(text: str) -> bool:
-    return text.isascii() and text.isdigit() and len(text) <= MAX_INDEX_DIGITS
+    match = _UNIT_NAME.fullmatch(name)
+    if match is None:
+        return errors.refuse(
+            errors.Kind.MALFORMED, f"malformed unit name {name[:80]!r}"
+        )
+    job, occurrence, step, index = match.groups()
+    return UnitKey(job, int(occurrence), int(step), index and int(index))
 
 
 WAITING_UNIT = records.UnitRecord(0, 0, UnitStatus.WAITING, (), "", ())
--- a/tests/jobs/test_table.py
+++ b/tests/jobs/test_table.py
@@ -102,6 +102,24 @@
         assert jobs.claim.entry == "new"
         assert jobs.epoch == 9
 
+    def test_end_that_was_dropped_does_not_end_a_later_job(self):
+        # The end was read after its job had been dropped.
+        jobs = table.JobTable()
+        end = records.EndRecord(1, table.JobState.DONE.value, 2_000)
+        for value in (end, None):
+            jobs.apply(records.Record(records.Kind.END, JOB, value))
+        jobs.apply(build_submission())
+        assert jobs.jobs[JOB].get_state() is table.JobState.QUEUED
+
+    def test_done_job_stays_done_if_it_is_cancelled_before_its_end(self):
+        # Callers saw it as done, then as cancelled, then as done.
+        jobs = table.JobTable()
+        jobs.apply(build_submission())
+        for index in range(2):
+            jobs.apply(build_unit_record(index, table.UnitStatus.DONE))
+        jobs.apply(records.Record(records.Kind.CANCEL, JOB, 3_000))
+        assert jobs.jobs[JOB].get_state() is table.JobState.DONE
+
 
 class TestRecords:
     def test_encoded_record_is_decoded_unchanged(self):
@@ -127,24 +145,6 @@
             assert records.decode(key, value) == record
             assert specs.check_spec(record.value.spec) is not None
 
-    def test_end_that_was_dropped_does_not_end_a_later_job(self):
-        # The end was read after its job had been dropped.
-        jobs = table.JobTable()
-        end = records.EndRecord(1, table.JobState.DONE.value, 2_000)
-        for value in (end, None):
-            jobs.apply(records.Record(records.Kind.END, JOB, value))
-        jobs.apply(build_submission())
-        assert jobs.jobs[JOB].get_state() is table.JobState.QUEUED
-
-    def test_done_job_stays_done_if_it_is_cancelled_before_its_end(self):
-        # Callers saw it as done, then as cancelled, then as done.
-        jobs = table.JobTable()
-        jobs.apply(build_submission())
-        for index in range(2):
-            jobs.apply(build_unit_record(index, table.UnitStatus.DONE))
-        jobs.apply(records.Record(records.Kind.CANCEL, JOB, 3_000))
-        assert jobs.jobs[JOB].get_state() is table.JobState.DONE
-
 
 class TestUnitKeys:
     def test_formatted_key_is_parsed_unchanged(self):
