Logged what shows that a run is lost, and which owners are waited for.

The line run_ended has a field evidence: reported, not_listed, worker_restarted, lease_expired, not_sent.

--- a/chervilcove/control/follower.py
+++ b/chervilcove/control/follower.py
@@ -100,13 +100,26 @@
         now = time.monotonic()
         found = {
             process
-            for process, until in self._superseded.items()
-            if now < until and not self.table.has_ended(process)
+            for process, until in self.get_renewing_owners()
+            if now < until
         }
         if not self.table.is_owner_gone():
             found.add(self.table.claim.process)
         return tuple(sorted(found))
 
+    def get_renewing_owners(self) -> list[tuple[records.Process, float]]:
+        """Return the replaced owners whose process may still live.
+
+        Returns:
+            Each process, and the monotonic seconds until which it may renew
+            leases.
+        """
+        return [
+            (process, until)
+            for process, until in self._superseded.items()
+            if not self.table.has_ended(process)
+        ]
+
     def get_renewals_end(self) -> float:
         """Return the time until which replaced owners may renew leases.
 
@@ -114,11 +127,7 @@
             Monotonic seconds; minus infinity if none does.
         """
         return max(
-            (
-                until
-                for process, until in self._superseded.items()
-                if not self.table.has_ended(process)
-            ),
+            (until for _, until in self.get_renewing_owners()),
             default=float("-inf"),
         )
 
--- a/chervilcove/control/owners.py
+++ b/chervilcove/control/owners.py
@@ -204,7 +204,17 @@
             for key in job.active:
                 unit = job.units[key]
                 self._add_run(job, key, unit, phase=runs.Phase.KNOWN)
-        self.log.info("runs_inherited", epoch=self.epoch, runs=len(self._runs))
+        now = time.monotonic()
+        self.log.info(
+            "runs_inherited",
+            epoch=self.epoch,
+            runs=len(self._runs),
+            leases_end_in_s=round(self.fleet.inherited_expiry - now, 2),
+            renewing=",".join(
+                f"{process.entry}:{round(until - now, 2)}"
+                for process, until in self._follower.get_renewing_owners()
+            ),
+        )
 
     def _add_run(
         self,
@@ -338,7 +348,14 @@
                 if is_settled and renewal.asked > member.changed_at:
                     life = reply.life or member.place.life
                     member.has_crashed_worker = life != member.place.life
-                    self._end_member(run, member, "lost")
+                    self._end_member(
+                        run,
+                        member,
+                        "lost",
+                        evidence="worker_restarted"
+                        if member.has_crashed_worker
+                        else "not_listed",
+                    )
         self._record_ends(renewal.worker)
         self._run_monitor.pace_fillers(renewal.worker)
         if last > session.last_seen:
@@ -447,8 +464,21 @@
             self._commands.stop(run, "an earlier run ended as done")
 
     def _end_member(
-        self, run: runs.Run, member: runs.Member, outcome: str
+        self,
+        run: runs.Run,
+        member: runs.Member,
+        outcome: str,
+        *,
+        evidence: str = "reported",
     ) -> None:
+        """Stop to track one task of a run, which certainly does not run.
+
+        Args:
+            run: The run.
+            member: The task.
+            outcome: How it ended; see `interfaces.EndedRun`.
+            evidence: What shows that it ended, for the log.
+        """
         member.phase = runs.Phase.ENDED
         member.outcome = outcome
         self.fleet.resources.release(member.placed)
@@ -474,6 +504,7 @@
             task=member.task,
             run=run.number,
             how=outcome,
+            evidence=evidence,
             worker=worker,
             ran_s=round(time.monotonic() - run.started, 2),
             listed=member.is_listed,
@@ -572,7 +603,9 @@
                     member.has_crashed_worker = (
                         member.phase is runs.Phase.KNOWN and not has_left
                     )
-                    self._end_member(run, member, "lost")
+                    self._end_member(
+                        run, member, "lost", evidence="lease_expired"
+                    )
         self._record_ends(worker)
         self.fleet.health.record_unresponsive(worker, now)
 
@@ -873,7 +906,7 @@
             # No start command was sent, so the run never begins.
             for member in run.members:
                 if member.phase is runs.Phase.ORDERED:
-                    self._end_member(run, member, "unsent")
+                    self._end_member(run, member, "unsent", evidence="not_sent")
             self._finish_run(run)
             self._wake.set()
             return
--- a/tests/control/test_elections.py
+++ b/tests/control/test_elections.py
@@ -1,6 +1,7 @@
 import time
 
 import gevent
+import logbook
 
 from chervilcove.control import elections
 from chervilcove.control import interfaces
@@ -228,6 +229,20 @@
         fleet = self.replace_owner(system, "c", resigns=False)._owner.fleet
         assert fleet.inherited_expiry >= self.get_last_lease_end(cut_at)
 
+    def test_log_names_the_owners_that_are_waited_for(self, system):
+        # The log of review/1 did not show whose leases the third owner knew.
+        self.cut_off_owner(system)
+        self.replace_owner(system, "b", resigns=True)
+        with logbook.TestHandler().applicationbound() as handler:
+            self.replace_owner(system, "c", resigns=False)
+        line = next(
+            record.message
+            for record in handler.records
+            if "event=runs_inherited" in record.message
+        )
+        assert " renewing=a@127.0.0.1:" in line
+        assert " leases_end_in_s=1" in line  # 10 s, or little more
+
     def test_owner_that_hands_over_or_has_ended_is_not_waited_for(self, system):
         first, _ = self.cut_off_owner(system)
         second = self.replace_owner(system, "b", resigns=False)
--- a/tests/control/test_owners.py
+++ b/tests/control/test_owners.py
@@ -1,6 +1,7 @@
 import time
 
 import gevent
+import logbook
 import pytest
 
 from chervilcove.control import clocks
@@ -281,6 +282,35 @@
         assert first._owner is None
 
 
+class TestLostRuns:
+    @pytest.mark.parametrize(
+        "evidence", ["lease_expired", "not_listed", "worker_restarted"]
+    )
+    def test_log_says_what_shows_that_a_run_is_lost(
+        self, system, monkeypatch, evidence
+    ):
+        # The log of review/1 did not show why a run that worked was given up.
+        monkeypatch.setattr(sessions, "LEASE_MS", 1_000)
+        entry = system.add_entry("a")
+        system.submit(entry, JOB, systems.build_spec())
+        worker = system.wait_for_run(TASK)
+        with logbook.TestHandler().applicationbound() as handler:
+            if evidence == "lease_expired":
+                worker.is_cut = True
+            elif evidence == "not_listed":
+                worker.running.clear()
+            else:
+                worker.crash()
+                system.fleet.restart(worker.report.id)
+            systems.wait_until(lambda: len(system.list_starts()) == 2)
+        line = next(
+            record.message
+            for record in handler.records
+            if "event=run_ended" in record.message
+        )
+        assert f" how=lost evidence={evidence} " in line
+
+
 class TestLateEnds:
     def _restart_lost_run(self, system, monkeypatch):
         monkeypatch.setattr(sessions, "LEASE_MS", 1_000)
