Counted the leases of a new owner from when its claim was sent.

Callers' tasks could run twice at the same time: an owner that was suspended, or whose store was slow, between its claim and the read that confirms it renewed leases for 3 s from then on. An entry that claimed meanwhile waits for renewals until 4.2 s after its own claim at most, and then starts the tasks again.

Cause: OwnerWriter.stored_append_sent_at began with the moment at which the claim was read back. All later appends count from when they were first sent.

The election notes when it first sent its newest claim, and the owner's leases count from there. A claim that is sent again keeps the first time, as either try may be the one that was stored.

tests/control/test_operator_failures.py, TestPausedOwner: the new test failed before for one and for two tries of the claim, as workers were asked for leases.

--- a/chervilcove/control/core.py
+++ b/chervilcove/control/core.py
@@ -228,6 +228,7 @@
             return
         self._owner = owners.Owner(
             epoch=epoch,
+            claim_sent_at=self._election.claim_sent_at,
             ledger=self._ledger,
             follower=self._follower,
             connector=self._connector,
--- a/chervilcove/control/elections.py
+++ b/chervilcove/control/elections.py
@@ -14,6 +14,7 @@
 
 import xxhash
 
+from chervilcove.control import clocks
 from chervilcove.control import follower as followers
 from chervilcove.control import interfaces
 from chervilcove.core import errors
@@ -103,6 +104,10 @@
         self._is_leaving = False
         # Newest epoch that this entry lost; its claim is not applied again.
         self._lost_epoch = 0
+        # Newest epoch that this entry claimed, and the boot clock, in seconds,
+        # when it first sent that claim.
+        self._claimed_epoch = 0
+        self._claim_sent_at = float("-inf")
         follower.add_listener(self.apply_claim)
 
     @property
@@ -110,6 +115,11 @@
         """Return the epoch in which this entry is the owner, or None."""
         return self._epoch
 
+    @property
+    def claim_sent_at(self) -> float:
+        """Return when the newest claim was first sent, boot clock seconds."""
+        return self._claim_sent_at
+
     def apply_claim(self) -> None:
         """Become the owner or step down, as the newest claim requires."""
         claim = self._follower.table.claim
@@ -268,6 +278,9 @@
             records.build_key(records.Kind.CLAIM),
             records.encode_value(claim),
         )
+        if epoch > self._claimed_epoch:
+            self._claimed_epoch = epoch
+            self._claim_sent_at = clocks.read_boot_clock_s()
         return self._ledger.append(
             [item], fence=interfaces.Fence(epoch, 0), timeout_s=CLAIM_TIMEOUT_S
         )
--- a/chervilcove/control/owner_writer.py
+++ b/chervilcove/control/owner_writer.py
@@ -55,6 +55,7 @@
     Args:
         ledger: The job ledger.
         epoch: Epoch of the owner.
+        claim_sent_at: Boot clock at which its claim was first sent, seconds.
         clock: Time that the entries share.
         on_deposed: Called with a reason once a newer owner is known.
         metrics: Metrics of this entry.
@@ -65,6 +66,7 @@
         *,
         ledger: interfaces.Ledger,
         epoch: int,
+        claim_sent_at: float,
         clock: clocks.SharedClock,
         on_deposed: Callable[[str], None],
         metrics: metric_values.Metrics,
@@ -87,9 +89,10 @@
         self._closed = event.Event()
         self._wake = event.Event()
         # Time, on the boot clock, at which the newest stored append was first
-        # sent. Counting from the answer would let an owner that reads it late,
-        # as after a suspension, renew leases for too long.
-        self.stored_append_sent_at = clocks.read_boot_clock_s()
+        # sent; the claim is the first one. Counting from the answer would let
+        # an owner that reads it late, as after a suspension, renew leases for
+        # too long.
+        self.stored_append_sent_at = claim_sent_at
 
     @property
     def backlog(self) -> int:
--- a/chervilcove/control/owners.py
+++ b/chervilcove/control/owners.py
@@ -57,6 +57,7 @@
 
     Args:
         epoch: Epoch of this owner.
+        claim_sent_at: Boot clock at which its claim was first sent, seconds.
         ledger: The job ledger.
         follower: Reads the ledger; the owner decides by a copy of its table.
         connector: Creates worker clients, the policy client and the feed of
@@ -73,6 +74,7 @@
         self,
         *,
         epoch: int,
+        claim_sent_at: float,
         ledger: interfaces.Ledger,
         follower: followers.Follower,
         connector: interfaces.PlatformConnector,
@@ -113,6 +115,7 @@
         self.writer = owner_writer.OwnerWriter(
             ledger=ledger,
             epoch=epoch,
+            claim_sent_at=claim_sent_at,
             clock=self._clock,
             on_deposed=on_deposed,
             metrics=metrics,
--- a/tests/control/test_operator_failures.py
+++ b/tests/control/test_operator_failures.py
@@ -8,6 +8,8 @@
 
 from chervilcove.control import clocks
 from chervilcove.control import commands
+from chervilcove.control import interfaces
+from chervilcove.control import owner_writer
 from chervilcove.control import sessions
 from chervilcove.core import errors
 from chervilcove.jobs import records
@@ -90,6 +92,45 @@
         advance_boot_clock(monkeypatch, sessions.LEASE_WITHOUT_LEDGER_S + 0.1)
         assert not owner._may_renew()
 
+    @pytest.mark.parametrize("tries", [1, 2])
+    def test_no_leases_are_given_after_a_pause_before_the_claim_is_read(
+        self, system, monkeypatch, tries
+    ):
+        # Leases were renewed for 3 s after the claim was read back, whenever
+        # that was. Successors wait for less if the claim is as old as theirs.
+        append, read = system.ledger.append, system.ledger.read
+        claims = []
+
+        def append_and_pause(items, *, fence=None, timeout_s):
+            outcome = append(items, fence=fence, timeout_s=timeout_s)
+            claims.append(fence)
+            if len(claims) == 1:
+                advance_boot_clock(
+                    monkeypatch, sessions.LEASE_WITHOUT_LEDGER_S + 0.1
+                )
+            return outcome
+
+        def read_after_all_tries(offset, *, wait_s, timeout_s):
+            chunk = read(offset, wait_s=wait_s, timeout_s=timeout_s)
+            if 0 < len(claims) < tries:
+                gevent.sleep(0.01)
+                return interfaces.Chunk([], offset, offset)
+            return chunk
+
+        monkeypatch.setattr(
+            owner_writer.OwnerWriter, "run", lambda _: gevent.sleep(60.0)
+        )
+        monkeypatch.setattr(system.ledger, "read", read_after_all_tries)
+        entry = system.add_entry("a")
+        systems.wait_until(
+            lambda: entry._follower.table.incarnations.get(entry._identity)
+        )
+        monkeypatch.setattr(system.ledger, "append", append_and_pause)
+        owner = systems.wait_until(lambda: entry._owner)
+        gevent.sleep(0.3)
+        assert [fence.epoch for fence in claims] == [1] * tries
+        assert not any(one.last_answer for one in owner.fleet.sessions.values())
+
     def test_stored_start_is_not_sent_after_a_pause(
         self, system, owner, monkeypatch
     ):
--- a/tests/control/test_relays.py
+++ b/tests/control/test_relays.py
@@ -167,6 +167,7 @@
         ledger = PartitionLedger()
         owner = owner_writer.OwnerWriter(
             ledger=ledger,
+            claim_sent_at=0.0,
             epoch=1,
             clock=clocks.SharedClock(),
             on_deposed=lambda reason: None,
@@ -217,6 +218,7 @@
         ledger.APPEND_S = 1.0
         owner = owner_writer.OwnerWriter(
             ledger=ledger,
+            claim_sent_at=0.0,
             epoch=1,
             clock=clocks.SharedClock(),
             on_deposed=lambda reason: None,
--- a/tests/control/test_writers.py
+++ b/tests/control/test_writers.py
@@ -63,6 +63,7 @@
         owner_writer.OwnerWriter,
         ledger,
         epoch=1,
+        claim_sent_at=clocks.read_boot_clock_s(),
         clock=clocks.SharedClock(),
         on_deposed=lambda reason: None,
     )
