Held the room of runs that workers list and no record shows as running.

Workers got more tasks than they have room for (LIMIT): a new owner started tasks beside a run that was still being stopped.

Cause: a successor adopts the units that are active in the ledger. A unit that is done may still have a run: an earlier run that counted as lost had ended as done, or one member of its gang has. The successor did not know that run, asked its worker to stop it as soon as it was listed, and took its room for free.

What a worker lists and the owner does not track now holds the resources of its task, or the whole worker if its job is unknown, until a newer list of the worker leaves it out, no lease can live, or another process answers. As a worker gets no start before its first list, and refuses commands of earlier owners from then on, no way of losing track of a run frees its room.

The stand-in of a worker counts what it runs itself, and all tests of tests/control check that it was never over its capacity.

--- a/chervilcove/control/owners.py
+++ b/chervilcove/control/owners.py
@@ -27,6 +27,7 @@
 from chervilcove.control import run_monitor
 from chervilcove.control import runs
 from chervilcove.control import sessions
+from chervilcove.control import untracked_runs
 from chervilcove.control import wait_log
 from chervilcove.core import errors
 from chervilcove.core import metrics as metric_values
@@ -129,6 +130,9 @@
             on_deposed=on_deposed,
             renewals_end=follower.get_renewals_end(),
         )
+        self._untracked = untracked_runs.UntrackedRuns(
+            resources=self.fleet.resources, jobs=self._table.jobs
+        )
         self._isolation = isolation.FaultIsolation(
             log=self.log, metrics=metrics
         )
@@ -274,7 +278,9 @@
         return silence_s < sessions.LEASE_WITHOUT_LEDGER_S
 
     def _is_busy(self, worker: str) -> bool:
-        return bool(self._runs_by_worker.get(worker))
+        return bool(
+            self._runs_by_worker.get(worker)
+        ) or self._untracked.has_runs(worker)
 
     # One round: process input, record ends, schedule, send commands.
 
@@ -289,9 +295,9 @@
                 session.is_understood = self._isolation.attempt(
                     renewal.worker, self._process_renewal, renewal, session
                 )
-        for worker, keys in list(self._runs_by_worker.items()):
-            if keys:
-                self._isolation.attempt(worker, self._end_lost_runs, worker)
+        tracked = {one for one, keys in self._runs_by_worker.items() if keys}
+        for worker in tracked.union(self._untracked.list_workers()):
+            self._isolation.attempt(worker, self._end_lost_runs, worker)
         self.fleet.drop_unlisted()
         for job in list(self._table.open_jobs.values()):
             self._isolation.attempt(job.id, self._close_job, job)
@@ -328,9 +334,12 @@
     ) -> None:
         reply = renewal.reply
         listed: set[tuple[str, int]] = set()
+        untracked = []
         for row in reply.running:
             listed.add((row.task, row.run))
-            self._process_running_task(session, row)
+            if not self._process_running_task(session, row):
+                untracked.append(untracked_runs.ListedRun(row.task, row.run))
+        self._untracked.replace(renewal.worker, untracked)
         last = 0
         for end in reply.ended:
             listed.add((end.task, end.run))
@@ -380,7 +389,12 @@
 
     def _process_running_task(
         self, session: sessions.Session, row: interfaces.RunningTask
-    ) -> None:
+    ) -> bool:
+        """Record the progress of a task, or stop a run that isn't tracked.
+
+        Returns:
+            Whether the run is tracked.
+        """
         run = self._find_run(row.task)
         member = (
             run.find_member(row.task, session.report.id)
@@ -395,7 +409,7 @@
                 worker=session.report.id,
             )
             self._commands.stop_stray_run(session, row.task, row.run)
-            return
+            return False
         if member.phase is runs.Phase.ORDERED:
             member.phase = runs.Phase.KNOWN
             member.changed_at = time.monotonic()
@@ -407,6 +421,7 @@
         member.load = row.load
         if row.checkpoint:
             run.checkpoint = row.checkpoint
+        return True
 
     def _process_end(
         self, session: sessions.Session, end: interfaces.EndedRun
@@ -594,8 +609,9 @@
             return
         if now < self.fleet.get_lease_expiry(worker):
             return
+        self._untracked.replace(worker, [])
         has_left = self.fleet.has_announced_departure(worker)
-        for key in list(self._runs_by_worker[worker]):
+        for key in list(self._runs_by_worker.get(worker, ())):
             run = self._runs[key]
             for member in run.members:
                 if (
--- /dev/null
+++ b/chervilcove/control/untracked_runs.py
@@ -0,0 +1,104 @@
+"""Runs that workers list and that no record of the ledger shows as running.
+
+The record of a unit tells how far the unit is, not what still runs. A unit may
+be done while a run of it is being stopped: an earlier run turned out to have
+ended as done, or one member of its gang has. A successor reads only the record,
+so it does not track that run. Workers do not guard their capacity. What a
+worker lists therefore holds its resources, whoever started it.
+"""
+
+from collections.abc import Iterable
+from collections.abc import Mapping
+from typing import NamedTuple
+
+from chervilcove.core import errors
+from chervilcove.dispatch import resources as resource_values
+from chervilcove.jobs import specs
+from chervilcove.jobs import table
+
+# Step of a task whose job is not known any more.
+UNKNOWN_STEP = ("", 0, 0)
+
+
+class ListedRun(NamedTuple):
+    """One run in a worker's list.
+
+    Attributes:
+        task: Name of the task.
+        run: Number of the run.
+    """
+
+    task: str
+    run: int
+
+
+class UntrackedRuns:
+    """Hold resources for the untracked runs of each worker.
+
+    Args:
+        resources: State of the workers.
+        jobs: All known jobs, by id.
+    """
+
+    def __init__(
+        self,
+        *,
+        resources: resource_values.FleetResources,
+        jobs: Mapping[str, table.Job],
+    ):
+        self._resources = resources
+        self._jobs = jobs
+        self._allocations: dict[
+            str, dict[ListedRun, resource_values.Allocation]
+        ] = {}
+
+    def has_runs(self, worker: str) -> bool:
+        """Tell whether a worker has untracked runs."""
+        return worker in self._allocations
+
+    def list_workers(self) -> list[str]:
+        """Return the workers with untracked runs."""
+        return list(self._allocations)
+
+    def replace(self, worker: str, listed: Iterable[ListedRun]) -> None:
+        """Replace the untracked runs of a worker by those of a newer list.
+
+        Args:
+            worker: Id of the worker.
+            listed: Its untracked runs; empty once none of them can run.
+        """
+        before = self._allocations.pop(worker, {})
+        now = {
+            run: before.pop(run, None) or self._allocate(worker, run)
+            for run in listed
+        }
+        for allocation in before.values():
+            self._resources.release(allocation)
+        if now:
+            self._allocations[worker] = now
+
+    def _allocate(
+        self, worker: str, listed: ListedRun
+    ) -> resource_values.Allocation:
+        step_key, need = self._find_step(listed.task)
+        if need is None:
+            need = self._resources.by_worker[worker].worker.capacity
+        allocation = resource_values.Allocation(step_key, need, (worker,))
+        self._resources.allocate(allocation)
+        return allocation
+
+    def _find_step(
+        self, task: str
+    ) -> tuple[tuple[str, int, int], specs.Resources | None]:
+        """Return the key of a task's step, and what the task needs.
+
+        The need is None if the job is unknown.
+        """
+        key = table.parse_unit_key(task)
+        if errors.is_refusal(key):
+            return UNKNOWN_STEP, None
+        job = self._jobs.get(key.job)
+        if job is None or key.step >= len(job.spec.steps):
+            return UNKNOWN_STEP, None
+        need = job.spec.steps[key.step].need
+        return resource_values.get_step_key(key), need
--- a/chervilcove/standins/fleet.py
+++ b/chervilcove/standins/fleet.py
@@ -12,6 +12,7 @@
 
 UNANSWERED_START_DELAY_S = 0.3  # before the start is answered OUTCOME_UNKNOWN
 CAPACITY = specs.Resources(64_000, 131_072, 8)
+NO_RESOURCES = specs.Resources(0, 0, 0)
 
 
 class MemoryWorker(interfaces.WorkerClient):
@@ -33,10 +34,17 @@
         ended: Ends that the owner has not acknowledged.
         fence: Highest epoch of an owner that the worker has seen.
         crashing_tasks: Tasks whose start crashes the worker.
+        stop_delay_s: Seconds from a stop to the end of its run.
+        get_need: Returns the resources of a task, by its name.
+        overloads: Starts for which the worker had too little room, as text.
+            Like the users' workers, it doesn't refuse them.
     """
 
     def __init__(self, *, report: interfaces.WorkerReport):
         self.report = report
+        self.stop_delay_s = 0.0
+        self.get_need: Callable[[str], specs.Resources] = lambda _: NO_RESOURCES
+        self.overloads: list[str] = []
         self.is_cut = False
         self.crashing_tasks: set[str] = set()
         self.swallow_starts = 0
@@ -108,7 +116,12 @@
         highest = max(self._highest_runs.get(command.task, 0), command.run)
         self._highest_runs[command.task] = highest
         if self.running.get(command.task) == command.run:
-            self.end(command.task, "stopped")
+            if self.stop_delay_s:
+                gevent.spawn_later(
+                    self.stop_delay_s, self._end_stopped, command
+                )
+            else:
+                self.end(command.task, "stopped")
         return _read_clock_ms()
 
     def renew_lease(
@@ -205,6 +218,27 @@
         self.report = report
         self.is_cut = False
 
+    def _end_stopped(self, command: interfaces.RunCommand) -> None:
+        if self.running.get(command.task) == command.run:
+            self.end(command.task, "stopped")
+
+    def _check_room(self, command: interfaces.RunCommand) -> None:
+        """Record a start that brings the worker over its capacity."""
+        held = [self.get_need(task) for task in self.running]
+        need = self.get_need(command.task)
+        for taken, asked, total in zip(
+            map(sum, zip(*held, NO_RESOURCES, strict=True)),
+            need,
+            self.report.capacity,
+            strict=True,
+        ):
+            if asked and taken + asked > total:
+                self.overloads.append(
+                    f"{command.task} run {command.run} on {self.report.id} "
+                    f"beside {sorted(self.running)}"
+                )
+                return
+
     def _estimate_progress(self, task: str) -> float:
         ran_s = time.monotonic() - self._started_at[task]
         return min(99.0, ran_s * self.percent_per_s)
@@ -225,6 +259,7 @@
             return _read_clock_ms()
         if command.run <= self._highest_runs.get(command.task, 0):
             return errors.refuse(errors.Kind.STALE_REVISION, "run is outdated")
+        self._check_room(command)
         self.running[command.task] = command.run
         self._started_at[command.task] = time.monotonic()
         self.starts.append((command.task, command.run))
--- a/tests/control/system.py
+++ b/tests/control/system.py
@@ -12,7 +12,9 @@
 from chervilcove.core import web
 from chervilcove.dispatch import round_input
 from chervilcove.jobs import configuration
+from chervilcove.jobs import records
 from chervilcove.jobs import specs
+from chervilcove.jobs import table
 from chervilcove.standins import fleet as fleets
 from chervilcove.standins import ledger as ledgers
 
@@ -66,6 +68,8 @@
     def __init__(self, workers=4):
         self.ledger = ledgers.MemoryLedger()
         self.fleet = fleets.MemoryFleet(count=workers)
+        for worker in self.fleet.workers.values():
+            worker.get_need = self.get_need
         self.operator_feed = MemoryOperatorFeed()
         self.entries = []
 
@@ -93,9 +97,27 @@
         return entry
 
     def kill_all(self):
+        """Kill all entries; no worker may have been over its capacity."""
         for entry in self.entries:
             entry.kill()
         self.entries = []
+        assert self.list_overloads() == []
+
+    def get_need(self, task):
+        """Return the resources of a task, by the record of its job."""
+        key = table.parse_unit_key(task)
+        for one in self.ledger.records:
+            if one.key == f"j/{key.job}" and one.value:
+                submission = records.decode(one.key, one.value).value
+                return submission.spec.steps[key.step].need
+        return fleets.NO_RESOURCES
+
+    def list_overloads(self):
+        return [
+            overload
+            for worker in self.fleet.workers.values()
+            for overload in worker.overloads
+        ]
 
     def submit(self, entry, job, spec, queue="batch", time_left_s=3.0):
         return entry.job_api.submit(
