Started nothing on workers whose first list was not processed.

A worker counted as ready for tasks from its first answer on, not from the moment at which the owner had processed what it lists. Both are one step apart; an answer that came between the two steps of one round would have shown all of the worker's room as free.

A session tells whether the owner processed a list of its worker, and only then the worker gets tasks.

tests/control/test_untracked_runs.py, TestUnheardWorkers: of its two tests one failed before; the other one guards that a silent worker gets no start.

--- a/chervilcove/control/sessions.py
+++ b/chervilcove/control/sessions.py
@@ -86,8 +86,9 @@
         self.last_seen = 0
         self.last_answer: float | None = None
         self._is_unreachable = False
-        # Whether the owner could process the newest answer; the owner sets it.
-        self.is_understood = True
+        # Whether the owner could process the newest answer, None before it
+        # processed any; the owner sets it.
+        self.is_understood: bool | None = None
         self._epoch = epoch
         self._on_renewal = on_renewal
         self._on_deposed = on_deposed
@@ -107,9 +108,17 @@
         return (
             self.last_answer is not None
             and not self._is_unreachable
-            and self.is_understood
+            and self.is_understood is not False
         )
 
+    @property
+    def is_listed(self) -> bool:
+        """Tell whether the owner knows what the worker runs.
+
+        Before it processed the first list, any resources may be taken.
+        """
+        return self.is_reachable and self.is_understood is True
+
     def estimate_clock_ms(self) -> int:
         """Return the estimated clock of the worker, 0 while it is unknown.
 
@@ -186,7 +195,7 @@
         if (
             self._clock is not None
             and not self._is_unreachable
-            and self.is_understood
+            and self.is_understood is not False
         ):
             until_ms = self.estimate_clock_ms() + LEASE_MS
             self.record_lease(until_ms)
--- a/tests/control/test_untracked_runs.py
+++ b/tests/control/test_untracked_runs.py
@@ -3,6 +3,7 @@
 import gevent
 import pytest
 
+from chervilcove.control import owners
 from chervilcove.control import sessions
 from chervilcove.jobs import specs
 from chervilcove.jobs import table
@@ -153,3 +154,35 @@
         system.submit(entry, JOB, build_whole_spec(count=2))
         for index in range(2):
             system.wait_for_run(f"{JOB}.0.0.{index}")
+
+
+class TestUnheardWorkers:
+    """What a worker runs is unknown until its first list was processed."""
+
+    def test_worker_gets_no_start_before_its_first_list(self, system):
+        silent = system.fleet.workers["w0"]
+        silent.is_cut = True
+        entry = system.add_entry("a")
+        submit_others(system, entry)
+        systems.wait_until(lambda: len(system.list_starts()) == 1)
+        gevent.sleep(0.5)
+        assert len(system.list_starts()) == 1
+        silent.is_cut = False
+        wait_for_others(system)
+
+    def test_worker_gets_no_start_before_its_list_was_processed(
+        self, system, monkeypatch
+    ):
+        # An answer can come after the renewals of a round were processed.
+        monkeypatch.setattr(owners.Owner, "run", lambda _: gevent.sleep(60.0))
+        entry = system.add_entry("a")
+        owner = systems.wait_until(lambda: entry._owner)
+        owner.fleet.set_reports(system.fleet.reports)
+        systems.wait_until(
+            lambda: all(
+                one.is_reachable for one in owner.fleet.sessions.values()
+            )
+        )
+        owner.fleet.update_open_workers(frozenset())
+        rooms = owner.fleet.resources.by_worker.values()
+        assert not any(room.is_schedulable for room in rooms)
