Tested that successors wait for all leases that earlier owners may give.

The limits of an owner and the wait of its successor are apart in the code, and who is waited for is handed on from claim to claim.

tests/control/test_lease_bounds.py draws 100 successions of 40 steps each, with claims, hand-overs, restarts, and entries that read late or the newest records only; each new owner has to wait for all that may still renew leases. A second test compares the last lease of an owner that is cut off with the wait of its successor.

--- a/chervilcove/standins/fleet.py
+++ b/chervilcove/standins/fleet.py
@@ -32,6 +32,8 @@
         running: Number of the current run of each running task.
         percent_per_s: Progress of every task, in percent per second.
         ended: Ends that the owner has not acknowledged.
+        lease_until_ms: End of the longest lease that it was given, on its
+            clock; tasks run on after it.
         fence: Highest epoch of an owner that the worker has seen.
         crashing_tasks: Tasks whose start crashes the worker.
         stop_delay_s: Seconds from a stop to the end of its run.
@@ -60,6 +62,7 @@
         self.percent_per_s = 10.0
         self._started_at: dict[str, float] = {}
         self.ended: list[interfaces.EndedRun] = []
+        self.lease_until_ms = 0
         self.fence = 0
         self._highest_runs: dict[str, int] = {}
         self._end_count = 0
@@ -145,6 +148,7 @@
         if fence < self.fence:
             return errors.refuse(errors.Kind.FENCED, "epoch is stale")
         self.fence = fence
+        self.lease_until_ms = max(self.lease_until_ms, lease_until_ms)
         self.ended = [end for end in self.ended if end.number > last_seen]
         if not self.ended and wait_ms:
             self._changed.wait(timeout=wait_ms / 1000)
--- /dev/null
+++ b/tests/control/test_lease_bounds.py
@@ -0,0 +1,154 @@
+"""What owners give and what their successors wait for must fit."""
+
+import random
+import time
+import types
+
+import gevent
+import pytest
+
+from chervilcove.control import clocks
+from chervilcove.control import elections
+from chervilcove.control import follower as followers
+from chervilcove.control import sessions
+from chervilcove.core import metrics as metric_values
+from chervilcove.jobs import records
+from chervilcove.standins import ledger as ledgers
+from tests.control import system as systems
+
+JOB = "00000000000000aa"
+TASK = f"{JOB}.0.0.0"
+NAMES = "abcd"
+
+
+class Entry:
+    """The parts of an entry that tell who may renew leases."""
+
+    def __init__(self, name, number, ledger):
+        self.process = records.Process(name, f"{name}-{number}")
+        self.ledger = ledger
+        self.follower = followers.Follower(
+            ledger=ledger,
+            clock=clocks.SharedClock(),
+            metrics=metric_values.Metrics(),
+        )
+        self.election = elections.Election(
+            name=name,
+            incarnation=self.process.incarnation,
+            ledger=ledger,
+            follower=self.follower,
+            rank=0.5,
+            on_change=lambda epoch: None,
+        )
+        key = records.build_key(records.Kind.ENTRY, name)
+        value = records.encode_value(self.process.incarnation)
+        ledger.append([(key, value)], timeout_s=1.0)
+        self.read_newest()
+
+    def read_newest(self):
+        chunk = self.ledger.read_newest(timeout_s=1.0)
+        self.follower.next_offset = chunk.next_offset
+        self.follower.load_snapshot(chunk)
+
+    def read(self):
+        offset = self.follower.next_offset
+        chunk = self.ledger.read(offset, wait_s=0.0, timeout_s=1.0)
+        self.follower._apply(chunk, is_live=True)
+
+    def claim(self, *, is_resigned=False):
+        epoch = self.follower.table.epoch + 1
+        self.election._append(epoch, is_resigned=is_resigned)
+
+
+class Succession:
+    """Owners that follow each other in a drawn order, on a drawn clock.
+
+    Attributes:
+        renewals_end: Until when each process that was replaced may renew
+            leases, as far as the ledger's order tells.
+    """
+
+    def __init__(self, seed):
+        self.random = random.Random(seed)
+        self.now = 1_000.0
+        self.ledger = ledgers.MemoryLedger()
+        self.renewals_end = {}
+
+    def start(self):
+        self.entries = {name: Entry(name, 0, self.ledger) for name in NAMES}
+        self.owner = None
+
+    def take_step(self, number):
+        self.now += self.random.choice([0.02, 0.3, 1.0, 3.0])
+        entry = self.entries[self.random.choice(NAMES)]
+        step = self.random.choice(
+            ["claim"] * 4 + ["resign"] * 3 + ["read", "read newest", "restart"]
+        )
+        if step == "claim" and entry is not self.owner:
+            self.replace_owner(entry)
+        elif step == "resign" and self.owner is not None:
+            self.owner.read()
+            self.owner.claim(is_resigned=True)
+            self.owner = None
+        elif step == "read":
+            entry.read()
+        elif step == "read newest":
+            entry.read_newest()
+        elif step == "restart":
+            self.renewals_end.pop(entry.process, None)
+            if entry is self.owner:
+                self.owner = None
+            name = entry.process.entry
+            self.entries[name] = Entry(name, number + 1, self.ledger)
+
+    def replace_owner(self, entry):
+        entry.read()
+        entry.claim()
+        if self.owner is not None:
+            self.renewals_end[self.owner.process] = (
+                self.now + sessions.LEASE_WITHOUT_LEDGER_S
+            )
+        self.renewals_end.pop(entry.process, None)
+        self.owner = entry
+        self.now += self.random.choice([0.0, 0.01, 0.5])
+        entry.read()
+        waits_until = entry.follower.get_renewals_end()
+        for process, until in self.renewals_end.items():
+            assert until <= max(waits_until, self.now), process
+
+
+class TestBounds:
+    @pytest.mark.parametrize("seed", range(100))
+    def test_new_owner_waits_for_all_that_may_renew_leases(
+        self, monkeypatch, seed
+    ):
+        # In review/1 the third owner did not wait for the first one.
+        succession = Succession(seed)
+        clock = types.SimpleNamespace(monotonic=lambda: succession.now)
+        monkeypatch.setattr(followers, "time", clock)
+        succession.start()
+        for number in range(40):
+            succession.take_step(number)
+
+    def test_leases_of_a_cut_off_owner_end_before_its_successor_counts_on_it(
+        self, system
+    ):
+        # The owner's limits and its successor's wait are apart in the code.
+        first = system.add_entry("a")
+        system.submit(first, JOB, systems.build_spec())
+        worker = system.wait_for_run(TASK)
+        systems.wait_until(lambda: worker.lease_until_ms)
+        system.fleet.reports.clear()  # the successor reaches no worker
+        second = system.add_entry("b")
+        systems.wait_until(lambda: second._follower.is_current)
+        first._owner.writer.kill()
+        first._follower.kill()
+        systems.wait_until(lambda: second._owner)
+        while first._owner._may_renew():
+            gevent.sleep(0.05)
+        gevent.sleep(sessions.BUSY_WAIT_MS / 1000)
+        waits_until = second._owner.fleet.get_lease_expiry(worker.report.id)
+        slowest = 1.02  # clocks of workers may be 2% slow
+        left_s = worker.lease_until_ms / 1000 - time.monotonic()
+        assert left_s > 0
+        assert time.monotonic() + left_s * slowest < waits_until
