Told starts of an entry apart by the end of the ledger that they found.

Callers' tasks could run twice at the same time: a living owner counted as ended, so that another entry claimed at once and waited for none of its leases. If it was cut off just then, it went on to renew them for up to 3 s.

Cause: the record of a start that was stored last was taken for the latest start. Such an append may be carried out seconds after it was sent, so that the record of a process that was killed follows that of the next one. The next one then made no claims any more, either.

An incarnation now ends with the end of the ledger that its process found when it first read it; a later process finds the same or a higher one. A process has ended if one with a higher start is known, and a late record of an earlier start is ignored. Incarnations of earlier versions have no start; next to them the newest record counts, as before. Entries of earlier versions read the new ones as they are.

--- a/chervilcove/control/core.py
+++ b/chervilcove/control/core.py
@@ -5,6 +5,7 @@
 from typing import Any
 
 import gevent
+from gevent import event
 
 from chervilcove.control import api
 from chervilcove.control import clocks
@@ -117,6 +118,8 @@
             ),
             on_change=self._switch_owner,
         )
+        self._is_current = event.Event()
+        self._follower.add_listener(self._note_current)
         self._follower.add_listener(self._notify_owner)
         self._follower.add_regain_listener(self._notify_owner_of_return)
         self.job_api = api.JobApi(
@@ -191,6 +194,8 @@
 
         If one of them was the owner, its timeout need not be waited for.
         """
+        self._is_current.wait()
+        self.incarnation = self._election.complete_incarnation()
         key = records.build_key(records.Kind.ENTRY, self._identity)
         value = records.encode_value(self.incarnation)
         while (
@@ -198,6 +203,7 @@
             is not None
         ):
             gevent.sleep(ANNOUNCE_RETRY_S)
+        self._election.record_announced()
 
     def _create_relay(
         self, metrics: metric_values.Metrics
@@ -240,6 +246,10 @@
         )
         self._owner.start()
 
+    def _note_current(self) -> None:
+        if self._follower.is_current:
+            self._is_current.set()
+
     def _wake_owner(self) -> None:
         if self._owner is not None:
             self._owner.wake()
--- a/chervilcove/control/elections.py
+++ b/chervilcove/control/elections.py
@@ -75,7 +75,7 @@
 
     Args:
         name: Name of this entry; no two processes have the same name at once.
-        incarnation: Id of this process.
+        incarnation: Id of this process, to be completed.
         ledger: The job ledger.
         follower: Reads the ledger.
         rank: Fraction from 0 to 1 that spreads the claims of the entries.
@@ -95,13 +95,15 @@
     ):
         super().__init__(name="election")
         self._name = name
-        self._incarnation = incarnation
+        self.incarnation = incarnation
         self._ledger = ledger
         self._follower = follower
         self._rank = rank
         self._on_change = on_change
         self._epoch: int | None = None
         self._is_leaving = False
+        # Whether the record of this process's start is stored.
+        self._is_announced = False
         # Newest epoch that this entry lost; its claim is not applied again.
         self._lost_epoch = 0
         # Newest epoch that this entry claimed, and the boot clock, in seconds,
@@ -120,13 +122,32 @@
         """Return when the newest claim was first sent, boot clock seconds."""
         return self._claim_sent_at
 
+    def complete_incarnation(self) -> str:
+        """Add the start of this process to its incarnation; return it.
+
+        To be called once the ledger was read, before the incarnation is
+        announced.
+        """
+        self.incarnation = records.add_start_offset(
+            self.incarnation, self._follower.next_offset
+        )
+        return self.incarnation
+
+    def record_announced(self) -> None:
+        """Allow claims, as the record of this process's start is stored."""
+        self._is_announced = True
+
     def apply_claim(self) -> None:
         """Become the owner or step down, as the newest claim requires."""
+        if self._follower.table.incarnations.get(self._name) == (
+            self.incarnation
+        ):
+            self.record_announced()
         claim = self._follower.table.claim
         epoch = self._follower.table.epoch
         is_mine = (
             claim is not None
-            and claim.incarnation == self._incarnation
+            and claim.incarnation == self.incarnation
             and not claim.is_resigned
             and epoch > self._lost_epoch
         )
@@ -185,8 +206,8 @@
             return False
         if not follower.is_current or follower.reachable_since is None:
             return False
-        known = follower.table.incarnations.get(self._name)
-        if known != self._incarnation:
+        process = records.Process(self._name, self.incarnation)
+        if not self._is_announced or follower.table.has_ended(process):
             return (
                 False  # other entries would think that this process has ended
             )
@@ -266,12 +287,12 @@
         claim = records.Claim(
             epoch,
             self._name,
-            self._incarnation,
+            self.incarnation,
             is_resigned,
             tuple(
                 process
                 for process in self._follower.list_renewing_owners()
-                if process.incarnation != self._incarnation
+                if process.incarnation != self.incarnation
             ),
         )
         item = (
--- a/chervilcove/jobs/records.py
+++ b/chervilcove/jobs/records.py
@@ -8,6 +8,7 @@
 """
 
 import enum
+import re
 from typing import Annotated
 from typing import Any
 from typing import Literal
@@ -20,6 +21,8 @@
 from chervilcove.jobs import crash_limits
 from chervilcove.jobs import specs
 
+_OFFSET = re.compile(r"[0-9]{1,18}", re.ASCII)
+
 _decoder = msgspec.msgpack.Decoder()
 _encoder = msgspec.msgpack.Encoder()
 
@@ -155,6 +158,38 @@
     incarnation: str
 
 
+def add_start_offset(incarnation: str, offset: int) -> str:
+    """Return `incarnation` with the start of its process.
+
+    Args:
+        incarnation: Random identifier of the process.
+        offset: End of the ledger when the process had read it first. A later
+            process finds the same or a higher one, whatever the clocks show.
+    """
+    return f"{incarnation}~{offset}"
+
+
+def parse_start_offset(incarnation: str) -> int | None:
+    """Return the start of a process, None if its incarnation has none.
+
+    Entries of earlier versions don't add it.
+    """
+    _, _, digits = incarnation.rpartition("~")
+    return int(digits) if _OFFSET.fullmatch(digits) else None
+
+
+def started_before(incarnation: str, other: str) -> bool:
+    """Tell whether a process of an entry surely started before another one.
+
+    Args:
+        incarnation: A process of the entry.
+        other: Another process of the same entry.
+    """
+    offset = parse_start_offset(incarnation)
+    later = parse_start_offset(other)
+    return offset is not None and later is not None and offset < later
+
+
 class Claim(NamedTuple):
     """Claim that makes an entry the owner.
 
--- a/chervilcove/jobs/table.py
+++ b/chervilcove/jobs/table.py
@@ -261,7 +261,8 @@
     Attributes:
         jobs: All jobs, by id.
         open_jobs: Jobs that have not ended, by id.
-        incarnations: Newest announced incarnation, by the name of the entry.
+        incarnations: Incarnation of the latest known process, by the name of
+            the entry.
         claim: Newest claim, None if there was none.
         epoch: Epoch of that claim, 0 if there was none.
     """
@@ -289,7 +290,7 @@
                 self.claim = record.value
                 self.epoch = record.value.epoch
         elif record.kind is records.Kind.ENTRY:
-            self.incarnations[record.name] = str(record.value)
+            self._apply_entry(record)
         elif record.kind is records.Kind.UNIT:
             self._apply_unit(record)
         elif record.kind is records.Kind.END:
@@ -339,9 +340,20 @@
         return self.has_ended(self.claim.process)
 
     def has_ended(self, process: records.Process) -> bool:
-        """Return whether a later process of the same entry has started."""
+        """Return whether a later process of the same entry has started.
+
+        Entries of earlier versions don't say when they started; the newest
+        record is taken for the latest start then.
+        """
         known = self.incarnations.get(process.entry)
-        return known is not None and known != process.incarnation
+        if known is None or known == process.incarnation:
+            return False
+        if (
+            records.parse_start_offset(known) is None
+            or records.parse_start_offset(process.incarnation) is None
+        ):
+            return True
+        return records.started_before(process.incarnation, known)
 
     def count_queued_jobs(self, queue: str, now_ms: int) -> int:
         """Return the number of jobs of `queue` that are due and not started."""
@@ -352,6 +364,16 @@
             for job in self.open_jobs.values()
         )
 
+    def _apply_entry(self, record: records.Record) -> None:
+        """Record the start of an entry, unless a later start is known.
+
+        The record may be stored late, after that of the next process.
+        """
+        incarnation = str(record.value)
+        known = self.incarnations.get(record.name)
+        if known is None or not records.started_before(incarnation, known):
+            self.incarnations[record.name] = incarnation
+
     def _apply_job(self, record: records.Record) -> None:
         if record.value is None:
             self.jobs.pop(record.name, None)
--- a/tests/control/test_lease_bounds.py
+++ b/tests/control/test_lease_bounds.py
@@ -24,7 +24,7 @@
     """The parts of an entry that tell who may renew leases."""
 
     def __init__(self, name, number, ledger):
-        self.process = records.Process(name, f"{name}-{number}")
+        self.name = name
         self.ledger = ledger
         self.follower = followers.Follower(
             ledger=ledger,
@@ -33,16 +33,26 @@
         )
         self.election = elections.Election(
             name=name,
-            incarnation=self.process.incarnation,
+            incarnation=f"{name}-{number}",
             ledger=ledger,
             follower=self.follower,
             rank=0.5,
             on_change=lambda epoch: None,
         )
-        key = records.build_key(records.Kind.ENTRY, name)
-        value = records.encode_value(self.process.incarnation)
-        ledger.append([(key, value)], timeout_s=1.0)
         self.read_newest()
+        self.election.complete_incarnation()
+        self.announce()
+        self.read()
+
+    @property
+    def process(self):
+        return records.Process(self.name, self.election.incarnation)
+
+    def announce(self):
+        """Append the record of the start, for the first time or late."""
+        key = records.build_key(records.Kind.ENTRY, self.name)
+        value = records.encode_value(self.election.incarnation)
+        self.ledger.append([(key, value)], timeout_s=1.0)
 
     def read_newest(self):
         chunk = self.ledger.read_newest(timeout_s=1.0)
@@ -72,6 +82,7 @@
         self.now = 1_000.0
         self.ledger = ledgers.MemoryLedger()
         self.renewals_end = {}
+        self.ended = []
 
     def start(self):
         self.entries = {name: Entry(name, 0, self.ledger) for name in NAMES}
@@ -81,7 +92,9 @@
         self.now += self.random.choice([0.02, 0.3, 1.0, 3.0])
         entry = self.entries[self.random.choice(NAMES)]
         step = self.random.choice(
-            ["claim"] * 4 + ["resign"] * 3 + ["read", "read newest", "restart"]
+            ["claim"] * 4
+            + ["resign"] * 3
+            + ["read", "read newest", "restart", "announce late"]
         )
         if step == "claim" and entry is not self.owner:
             self.replace_owner(entry)
@@ -97,8 +110,15 @@
             self.renewals_end.pop(entry.process, None)
             if entry is self.owner:
                 self.owner = None
-            name = entry.process.entry
-            self.entries[name] = Entry(name, number + 1, self.ledger)
+            self.ended.append(entry)
+            self.entries[entry.name] = Entry(
+                entry.name, number + 1, self.ledger
+            )
+        elif step == "announce late" and self.ended:
+            self.random.choice(self.ended).announce()
+        for one in self.entries.values():
+            for other in self.entries.values():
+                assert not one.follower.table.has_ended(other.process)
 
     def replace_owner(self, entry):
         entry.read()
