Counted a run that a worker lists twice once, and kept the order of workers.

A list with the same run twice took its room twice and gave it back once. The room is now derived from the list before anything changes.

tests/control/test_untracked_runs.py, TestUntrackedRuns: failed before.

--- a/chervilcove/control/owners.py
+++ b/chervilcove/control/owners.py
@@ -295,8 +295,8 @@
                 session.is_understood = self._isolation.attempt(
                     renewal.worker, self._process_renewal, renewal, session
                 )
-        tracked = {one for one, keys in self._runs_by_worker.items() if keys}
-        for worker in tracked.union(self._untracked.list_workers()):
+        tracked = [one for one, keys in self._runs_by_worker.items() if keys]
+        for worker in dict.fromkeys(tracked + self._untracked.list_workers()):
             self._isolation.attempt(worker, self._end_lost_runs, worker)
         self.fleet.drop_unlisted()
         for job in list(self._table.open_jobs.values()):
@@ -489,7 +489,7 @@
         *,
         evidence: str = "reported",
     ) -> None:
-        """Stop to track one task of a run, which certainly does not run.
+        """Stop tracking one task of a run, which certainly does not run.
 
         Args:
             run: The run.
--- a/chervilcove/control/untracked_runs.py
+++ b/chervilcove/control/untracked_runs.py
@@ -67,25 +67,28 @@
             worker: Id of the worker.
             listed: Its untracked runs; empty once none of them can run.
         """
-        before = self._allocations.pop(worker, {})
+        before = self._allocations.get(worker, {})
         now = {
-            run: before.pop(run, None) or self._allocate(worker, run)
-            for run in listed
+            run: before.get(run) or self._build_allocation(worker, run)
+            for run in dict.fromkeys(listed)
         }
-        for allocation in before.values():
-            self._resources.release(allocation)
-        if now:
-            self._allocations[worker] = now
-
-    def _allocate(
+        for run, allocation in before.items():
+            if run not in now:
+                self._resources.release(allocation)
+        for run, allocation in now.items():
+            if run not in before:
+                self._resources.allocate(allocation)
+        self._allocations[worker] = now
+        if not now:
+            del self._allocations[worker]
+
+    def _build_allocation(
         self, worker: str, listed: ListedRun
     ) -> resource_values.Allocation:
         step_key, need = self._find_step(listed.task)
         if need is None:
             need = self._resources.by_worker[worker].worker.capacity
-        allocation = resource_values.Allocation(step_key, need, (worker,))
-        self._resources.allocate(allocation)
-        return allocation
+        return resource_values.Allocation(step_key, need, (worker,))
 
     def _find_step(
         self, task: str
--- a/tests/control/test_untracked_runs.py
+++ b/tests/control/test_untracked_runs.py
@@ -5,6 +5,8 @@
 
 from chervilcove.control import owners
 from chervilcove.control import sessions
+from chervilcove.control import untracked_runs
+from chervilcove.dispatch import resources as resource_values
 from chervilcove.jobs import specs
 from chervilcove.jobs import table
 from tests.control import system as systems
@@ -156,6 +158,25 @@
             system.wait_for_run(f"{JOB}.0.0.{index}")
 
 
+class TestUntrackedRuns:
+    def test_run_that_is_listed_twice_holds_its_room_once(self):
+        resources = resource_values.FleetResources()
+        room = resources.add(
+            resource_values.Worker(
+                "w0", 1, "service", "dc0", "r1", frozenset(), WHOLE_WORKER
+            )
+        )
+        held = untracked_runs.UntrackedRuns(resources=resources, jobs={})
+        listed = untracked_runs.ListedRun(TASK, 1)
+        held.replace("w0", [listed, listed])
+        assert room.free == (0, 0, 0)
+        held.replace("w0", [listed])
+        assert room.free == (0, 0, 0)
+        held.replace("w0", [])
+        assert room.free == WHOLE_WORKER
+        assert not held.has_runs("w0")
+
+
 class TestUnheardWorkers:
     """What a worker runs is unknown until its first list was processed."""
 
