--- a/tests/control/test_untracked_runs.py
+++ b/tests/control/test_untracked_runs.py
@@ -1,5 +1,7 @@
 """Runs hold their room while a worker lists them, whoever started them."""
 
+import time
+
 import gevent
 import pytest
 
@@ -52,6 +54,18 @@
     return successor
 
 
+def plant_run(worker, *, stop_delay_s):
+    """Let a worker run a task of a job that nobody knows."""
+    worker.running[TASK] = 1
+    worker._started_at[TASK] = time.monotonic()
+    worker.stop_delay_s = stop_delay_s
+
+
+def start_owner(system):
+    entry = system.add_entry("a")
+    return systems.wait_until(lambda: entry._owner)
+
+
 def is_done(entry, job):
     return entry.job_api.get_job_state(job=job) is table.JobState.DONE
 
@@ -112,9 +126,7 @@
     def test_run_of_a_job_that_nobody_knows(self, system):
         # Its need is unknown, so that the whole worker counts as taken.
         worker = system.fleet.workers["w0"]
-        worker.running[TASK] = 1
-        worker._started_at[TASK] = 0.0
-        worker.stop_delay_s = 2 * STOP_DELAY_S
+        plant_run(worker, stop_delay_s=2 * STOP_DELAY_S)
         entry = system.add_entry("a")
         systems.wait_until(lambda: worker.fence)
         for job in OTHERS:
@@ -131,11 +143,8 @@
     ):
         monkeypatch.setattr(sessions, "LEASE_MS", 1_000)
         worker = system.fleet.workers["w0"]
-        worker.running[TASK] = 1
-        worker._started_at[TASK] = 0.0
-        worker.stop_delay_s = 60.0
-        entry = system.add_entry("a")
-        owner = systems.wait_until(lambda: entry._owner)
+        plant_run(worker, stop_delay_s=60.0)
+        owner = start_owner(system)
         systems.wait_until(lambda: owner._untracked.has_runs("w0"))
         worker.is_cut = True
         systems.wait_until(lambda: not owner._untracked.has_runs("w0"))
@@ -144,16 +153,13 @@
 
     def test_run_on_a_restarted_worker_is_forgotten(self, system):
         worker = system.fleet.workers["w0"]
-        worker.running[TASK] = 1
-        worker._started_at[TASK] = 0.0
-        worker.stop_delay_s = 60.0
-        entry = system.add_entry("a")
-        owner = systems.wait_until(lambda: entry._owner)
+        plant_run(worker, stop_delay_s=60.0)
+        owner = start_owner(system)
         systems.wait_until(lambda: owner._untracked.has_runs("w0"))
         worker.crash()
         system.fleet.restart("w0")
         systems.wait_until(lambda: not owner._untracked.has_runs("w0"))
-        system.submit(entry, JOB, build_whole_spec(count=2))
+        system.submit(system.entries[0], JOB, build_whole_spec(count=2))
         for index in range(2):
             system.wait_for_run(f"{JOB}.0.0.{index}")
 
