--- a/chervilcove/control/fleet.py
+++ b/chervilcove/control/fleet.py
@@ -124,7 +124,7 @@
             room.is_schedulable = (
                 report is not None
                 and not report.is_draining
-                and session.is_listed
+                and session.are_runs_known
                 and session.life == room.worker.life
                 and room.worker.data_centre not in evacuated
                 and not self.health.is_quarantined(worker, now)
--- a/chervilcove/control/sessions.py
+++ b/chervilcove/control/sessions.py
@@ -112,7 +112,7 @@
         )
 
     @property
-    def is_listed(self) -> bool:
+    def are_runs_known(self) -> bool:
         """Tell whether the owner knows what the worker runs.
 
         Before it processed the first list, any resources may be taken.
