--- a/chervilcove/control/elections.py
+++ b/chervilcove/control/elections.py
@@ -75,7 +75,8 @@
 
     Args:
         name: Name of this entry; no two processes have the same name at once.
-        incarnation: Id of this process, to be completed.
+        incarnation: Random id of this process; `complete_incarnation` adds its
+            start.
         ledger: The job ledger.
         follower: Reads the ledger.
         rank: Fraction from 0 to 1 that spreads the claims of the entries.
--- a/chervilcove/jobs/records.py
+++ b/chervilcove/jobs/records.py
@@ -163,7 +163,7 @@
 
     Args:
         incarnation: Random identifier of the process.
-        offset: End of the ledger when the process had read it first. A later
+        offset: End of the ledger at the first read of the process. A later
             process finds the same or a higher one, whatever the clocks show.
     """
     return f"{incarnation}~{offset}"
--- a/tests/control/test_operator_failures.py
+++ b/tests/control/test_operator_failures.py
@@ -96,8 +96,8 @@
     def test_no_leases_are_given_after_a_pause_before_the_claim_is_read(
         self, system, monkeypatch, tries
     ):
-        # Leases were renewed for 3 s after the claim was read back, whenever
-        # that was. Successors wait for less if the claim is as old as theirs.
+        # Leases were renewed for 3 s after the claim was read back, which may
+        # be longer than a successor that claimed meanwhile waits for.
         append, read = system.ledger.append, system.ledger.read
         claims = []
 
