--- a/chervilcove/control/commands.py
+++ b/chervilcove/control/commands.py
@@ -85,7 +85,7 @@
         worker rejects that run.
         """
         refusal = None
-        for _ in range(START_TRIES):
+        for count in range(START_TRIES):
             with self._start_slots:
                 session = self._fleet.sessions.get(member.place.worker)
                 if session is None or run.stop_reason:
@@ -119,7 +119,16 @@
                 continue
             if outcome.kind is errors.Kind.CONNECT_FAILED:
                 gevent.sleep(START_RETRY_S)
-            elif outcome.kind is not errors.Kind.OUTCOME_UNKNOWN:
+            elif outcome.kind is errors.Kind.OUTCOME_UNKNOWN:
+                self._log.info(
+                    "start_unanswered",
+                    task=member.task,
+                    run=run.number,
+                    worker=member.place.worker,
+                    life=member.place.life,
+                    tries=count + 1,
+                )
+            else:
                 break
         if member.phase is not runs.Phase.ORDERED:
             return
--- a/chervilcove/control/sessions.py
+++ b/chervilcove/control/sessions.py
@@ -221,6 +221,12 @@
             self.expires_at = time.monotonic() + length_s
         self.last_answer = time.monotonic()
         if outcome.life and outcome.life != self.life:
+            self.log.info(
+                "worker_restarted",
+                worker=self.report.id,
+                life=outcome.life,
+                before=self.life,
+            )
             self.life = outcome.life
             self.last_seen = 0
         self.record_clock(outcome.clock_ms)
--- a/tests/control/test_owners.py
+++ b/tests/control/test_owners.py
@@ -309,6 +309,7 @@
             if "event=run_ended" in record.message
         )
         assert f" how=lost evidence={evidence} " in line
+        assert " life=1 epoch=" in line
 
 
 class TestLateEnds:
