Added failing tests for late calls that reach a worker's next process.

A worker may start again under its id; its clock then starts near 0, it has seen no fence, and its ends are numbered anew. A call that got no answer may be carried out seconds later, by that process.

Change: the stand-in of a worker has a clock of its own, leases with which tasks lapse, renewals that are carried out late, and tells when each run ran. Five tests, listed in KNOWN-RED.txt and marked as such; they go with the fix.

Result: all five fail on this code: two runs of a task at once after a late renewal, after a late start, and after a start that the next process got before the owner noticed the restart; ends that nobody has read are forgotten after a late renewal.

--- a/chervilcove/standins/fleet.py
+++ b/chervilcove/standins/fleet.py
@@ -1,6 +1,8 @@
 """In-memory stand-in for a fleet of workers, with delayed or lost calls."""
 
 from collections.abc import Callable
+import functools
+import math
 import time
 
 import gevent
@@ -11,10 +13,28 @@
 from chervilcove.jobs import specs
 
 UNANSWERED_START_DELAY_S = 0.3  # before the start is answered OUTCOME_UNKNOWN
+UNANSWERED_RENEWAL_DELAY_S = 0.1  # the same for a renewal
 CAPACITY = specs.Resources(64_000, 131_072, 8)
 NO_RESOURCES = specs.Resources(0, 0, 0)
 
 
+class RunInterval:
+    """Time for which a worker ran one run.
+
+    Attributes:
+        task: Name of the task.
+        run: Number of the run.
+        began: Monotonic seconds.
+        ended: Monotonic seconds, infinite while it runs.
+    """
+
+    def __init__(self, *, task: str, run: int):
+        self.task = task
+        self.run = run
+        self.began = time.monotonic()
+        self.ended = math.inf
+
+
 class MemoryWorker(interfaces.WorkerClient):
     """Worker whose tasks run until `end` is called.
 
@@ -23,9 +43,11 @@
         is_cut: Whether calls have no effect and get no answer.
         swallow_starts: Number of further starts that get no answer; each is
             kept in `late` until `run_late` executes it.
+        swallow_renewals: The same for renewals of the lease.
         refuse_connections: Number of further starts whose connection fails.
-        late: Command and options of the starts that have not been executed.
+        late: Calls that have not been executed, oldest first.
         starts: Task and run of every start that took effect, in order.
+        intervals: When each of these runs ran, in the same order.
         tickets: Tickets of these starts, in the same order.
         loads: Load to report for each task, 0.0 where it has none.
         paces: Task and percent of each `set_pace`, in order.
@@ -33,7 +55,10 @@
         percent_per_s: Progress of every task, in percent per second.
         ended: Ends that the owner has not acknowledged.
         lease_until_ms: End of the longest lease that it was given, on its
-            clock; tasks run on after it.
+            clock.
+        lease_limit_ms: Longest lease that it accepts; tasks lapse with it. With
+            0 they run on after the lease.
+        clock_start: Monotonic seconds at which its clock read 0.
         fence: Highest epoch of an owner that the worker has seen.
         crashing_tasks: Tasks whose start crashes the worker.
         stop_delay_s: Seconds from a stop to the end of its run.
@@ -50,11 +75,11 @@
         self.is_cut = False
         self.crashing_tasks: set[str] = set()
         self.swallow_starts = 0
+        self.swallow_renewals = 0
         self.refuse_connections = 0
-        self.late: list[
-            tuple[interfaces.RunCommand, interfaces.StartOptions]
-        ] = []
+        self.late: list[Callable[[], object]] = []
         self.starts: list[tuple[str, int]] = []
+        self.intervals: list[RunInterval] = []
         self.tickets: list[str] = []
         self.loads: dict[str, float] = {}
         self.paces: list[tuple[str, int]] = []
@@ -63,6 +88,8 @@
         self._started_at: dict[str, float] = {}
         self.ended: list[interfaces.EndedRun] = []
         self.lease_until_ms = 0
+        self.lease_limit_ms = 0
+        self.clock_start = 0.0
         self.fence = 0
         self._highest_runs: dict[str, int] = {}
         self._end_count = 0
@@ -92,17 +119,17 @@
             )
         if self.swallow_starts:
             self.swallow_starts -= 1
-            self.late.append((command, details))
+            self.late.append(functools.partial(self._start, command, details))
             gevent.sleep(UNANSWERED_START_DELAY_S)
             return errors.refuse(
                 errors.Kind.OUTCOME_UNKNOWN, "start was not answered"
             )
         return self._start(command, details)
 
-    def run_late(self) -> list[int | errors.Refusal]:
-        """Execute the starts that got no answer; return their outcomes."""
+    def run_late(self) -> list[object]:
+        """Execute the calls that got no answer; return their outcomes."""
         late, self.late = self.late, []
-        return [self._start(command, details) for command, details in late]
+        return [call() for call in late]
 
     def stop(
         self, command: interfaces.RunCommand, *, timeout_s: float
@@ -125,7 +152,7 @@
                 )
             else:
                 self.end(command.task, "stopped")
-        return _read_clock_ms()
+        return self.read_clock_ms()
 
     def renew_lease(
         self,
@@ -136,29 +163,36 @@
         wait_ms: int,
         timeout_s: float,
     ) -> interfaces.LeaseReply | errors.Refusal:
-        """Return running and ended tasks; wait up to `wait_ms` for an end.
-
-        Leases are not simulated: tasks run until `end` is called.
-        """
+        """Return running and ended tasks; wait up to `wait_ms` for an end."""
         if self.is_cut:
             gevent.sleep(0.05)
             return errors.refuse(
                 errors.Kind.OUTCOME_UNKNOWN, "worker is unreachable"
             )
-        if fence < self.fence:
-            return errors.refuse(errors.Kind.FENCED, "epoch is stale")
-        self.fence = fence
-        self.lease_until_ms = max(self.lease_until_ms, lease_until_ms)
-        self.ended = [end for end in self.ended if end.number > last_seen]
+        if self.swallow_renewals:
+            self.swallow_renewals -= 1
+            self.late.append(
+                functools.partial(
+                    self._renew_lease, fence, last_seen, lease_until_ms
+                )
+            )
+            gevent.sleep(UNANSWERED_RENEWAL_DELAY_S)
+            return errors.refuse(
+                errors.Kind.OUTCOME_UNKNOWN, "renewal was not answered"
+            )
+        refusal = self._renew_lease(fence, last_seen, lease_until_ms)
+        if refusal is not None:
+            return refusal
+        life = self.report.life
         if not self.ended and wait_ms:
             self._changed.wait(timeout=wait_ms / 1000)
         gevent.sleep(0)
-        if self.is_cut:
+        if self.is_cut or self.report.life != life:
             return errors.refuse(
                 errors.Kind.OUTCOME_UNKNOWN, "worker is unreachable"
             )
         return interfaces.LeaseReply(
-            clock_ms=_read_clock_ms(),
+            clock_ms=self.read_clock_ms(),
             life=self.report.life,
             running=[
                 interfaces.RunningTask(
@@ -186,7 +220,7 @@
             return errors.refuse(errors.Kind.FENCED, "epoch is stale")
         self.fence = command.fence
         self.paces.append((command.task, percent))
-        return _read_clock_ms()
+        return self.read_clock_ms()
 
     def close(self) -> None:
         """Do nothing; there is no connection."""
@@ -200,6 +234,7 @@
             checkpoint: Newest checkpoint, empty for none.
         """
         run = self.running.pop(task)
+        self._close_interval(task)
         self._highest_runs[task] = max(self._highest_runs.get(task, 0), run)
         self._end_count += 1
         self.ended.append(
@@ -208,9 +243,16 @@
         self._changed.set()
         self._changed.clear()
 
+    def read_clock_ms(self) -> int:
+        """Return the time on the worker's clock in milliseconds."""
+        return int((time.monotonic() - self.clock_start) * 1000)
+
     def crash(self) -> None:
         """Lose all tasks and answer no calls until `restart`."""
         self.is_cut = True
+        self.lease_until_ms = 0
+        for task in self.running:
+            self._close_interval(task)
         self.running.clear()
         self.ended.clear()
         self._highest_runs.clear()
@@ -218,10 +260,44 @@
         self.fence = 0
 
     def restart(self, report: interfaces.WorkerReport) -> None:
-        """Answer calls again, as the new process that `report` describes."""
+        """Answer calls again, as the new process that `report` describes.
+
+        Its clock starts anew.
+        """
         self.report = report
+        self.clock_start = time.monotonic()
         self.is_cut = False
 
+    def _renew_lease(
+        self, fence: int, last_seen: int, lease_until_ms: int
+    ) -> errors.Refusal | None:
+        if fence < self.fence:
+            return errors.refuse(errors.Kind.FENCED, "epoch is stale")
+        self.fence = fence
+        self._extend_lease(lease_until_ms)
+        self.ended = [end for end in self.ended if end.number > last_seen]
+        return None
+
+    def _extend_lease(self, until_ms: int) -> None:
+        if self.lease_limit_ms:
+            now_ms = self.read_clock_ms()
+            until_ms = min(until_ms, now_ms + self.lease_limit_ms)
+            gevent.spawn_later(
+                max(0, until_ms - now_ms) / 1000 + 0.001, self._lapse
+            )
+        self.lease_until_ms = max(self.lease_until_ms, until_ms)
+
+    def _close_interval(self, task: str) -> None:
+        for interval in self.intervals:
+            if interval.task == task:
+                interval.ended = min(interval.ended, time.monotonic())
+
+    def _lapse(self) -> None:
+        """End all tasks if the lease has ended."""
+        if self.lease_until_ms <= self.read_clock_ms():
+            for task in list(self.running):
+                self.end(task, "lapsed")
+
     def _end_stopped(self, command: interfaces.RunCommand) -> None:
         if self.running.get(command.task) == command.run:
             self.end(command.task, "stopped")
@@ -253,26 +329,29 @@
         if command.fence < self.fence:
             return errors.refuse(errors.Kind.FENCED, "epoch is stale")
         self.fence = command.fence
-        if details.expires_ms <= _read_clock_ms():
+        if details.expires_ms <= self.read_clock_ms():
             return errors.refuse(
                 errors.Kind.DEADLINE_EXCEEDED,
                 "start deadline has passed",
-                clock_ms=_read_clock_ms(),
+                clock_ms=self.read_clock_ms(),
             )
         if self.running.get(command.task) == command.run:
-            return _read_clock_ms()
+            return self.read_clock_ms()
         if command.run <= self._highest_runs.get(command.task, 0):
             return errors.refuse(errors.Kind.STALE_REVISION, "run is outdated")
+        if self.lease_limit_ms:
+            self._extend_lease(details.expires_ms)
         self._check_room(command)
         self.running[command.task] = command.run
         self._started_at[command.task] = time.monotonic()
         self.starts.append((command.task, command.run))
+        self.intervals.append(RunInterval(task=command.task, run=command.run))
         self.tickets.append(details.ticket)
         if command.task in self.crashing_tasks:
             self.crash()
         self._changed.set()
         self._changed.clear()
-        return _read_clock_ms()
+        return self.read_clock_ms()
 
 
 class MemoryPolicy(interfaces.PlacementPolicy):
@@ -392,7 +471,3 @@
         self.reports[worker] = self.reports[worker]._replace(**changes)
         for feed in list(self.feeds):
             feed.tell()
-
-
-def _read_clock_ms() -> int:
-    return int(time.monotonic() * 1000)
--- a/tests/control/system.py
+++ b/tests/control/system.py
@@ -1,5 +1,6 @@
 """A control plane in memory, for tests."""
 
+import itertools
 import socket
 import time
 
@@ -119,6 +120,25 @@
             for overload in worker.overloads
         ]
 
+    def list_overlaps(self):
+        """Return pairs of runs of one task that ran at the same time.
+
+        Only meaningful if the workers' tasks lapse with their leases.
+        """
+        found = sorted(
+            (
+                interval
+                for worker in self.fleet.workers.values()
+                for interval in worker.intervals
+            ),
+            key=lambda interval: (interval.task, interval.began),
+        )
+        return [
+            (one.task, one.run, other.run)
+            for one, other in itertools.pairwise(found)
+            if one.task == other.task and other.began < one.ended
+        ]
+
     def submit(self, entry, job, spec, queue="batch", time_left_s=3.0):
         return entry.job_api.submit(
             job=job,
--- /dev/null
+++ b/tests/control/test_worker_restarts.py
@@ -0,0 +1,182 @@
+"""Calls for one process of a worker that the next one carries out.
+
+The next process has the same id, its clock starts near 0, and it has seen no
+fence.
+"""
+
+import time
+
+import gevent
+import pytest
+
+from chervilcove.control import commands
+from chervilcove.control import sessions
+from chervilcove.core import errors
+from chervilcove.jobs import table
+from tests.control import system as systems
+
+JOB = "00000000000000aa"
+TASK = f"{JOB}.0.0.0"
+LEASE_S = 2.0
+OLD_CLOCK_S = 1_000.0
+KNOWN_RED = pytest.mark.xfail(strict=True, reason="issue 38, KNOWN-RED.txt")
+
+
+@pytest.fixture
+def system(monkeypatch):
+    """Return two workers, "w0" in "dc0" and "w1" in "dc1", with leases."""
+    monkeypatch.setattr(sessions, "LEASE_MS", int(LEASE_S * 1000))
+    monkeypatch.setattr(commands, "START_VALID_MS", 1_200)
+    made = systems.System(workers=2)
+    for worker in made.fleet.workers.values():
+        worker.lease_limit_ms = int(LEASE_S * 1000)
+        worker.clock_start = time.monotonic() - OLD_CLOCK_S
+    yield made
+    made.kill_all()
+
+
+@pytest.fixture
+def entry(system):
+    made = system.add_entry("a")
+    systems.wait_until(lambda: made._owner)
+    systems.wait_until(
+        lambda: all(
+            system.fleet.workers[name].lease_until_ms for name in ("w0", "w1")
+        )
+    )
+    return made
+
+
+def evacuate(system, *data_centres):
+    feed = system.operator_feed
+    feed.operations = feed.operations._replace(
+        evacuated=frozenset(data_centres)
+    )
+
+
+def restart(system, worker):
+    worker.crash()
+    system.fleet.restart(worker.report.id)
+
+
+def wait_until_open(entry, worker):
+    """Wait until a worker may get tasks."""
+    fleet = entry._owner.fleet
+    systems.wait_until(lambda: fleet.sessions[worker].is_reachable)
+    systems.wait_until(lambda: fleet.resources.by_worker[worker].is_schedulable)
+
+
+def keep_renewal(worker):
+    """Keep the next renewal of the worker's lease unanswered."""
+    worker.swallow_renewals = 1
+    systems.wait_until(lambda: worker.late)
+
+
+class TestLateRenewals:
+    @KNOWN_RED
+    def test_late_renewal_gives_the_next_process_no_lease(self, system, entry):
+        # The owner counted a run as lost that still had a lease: two at once.
+        worker = system.fleet.workers["w0"]
+        evacuate(system, "dc1")
+        keep_renewal(worker)
+        restart(system, worker)
+        wait_until_open(entry, "w0")
+        system.submit(entry, JOB, systems.build_spec())
+        systems.wait_until(lambda: TASK in worker.running)
+        evacuate(system)
+        gevent.sleep(0.3)
+        worker.is_cut = True
+        gevent.sleep(0.75 * LEASE_S)
+        worker.run_late()
+        systems.wait_until(lambda: len(system.list_starts()) == 2)
+        gevent.sleep(LEASE_S)
+        assert system.list_overlaps() == []
+
+    @KNOWN_RED
+    def test_late_renewal_drops_no_ends_of_the_next_process(
+        self, system, entry
+    ):
+        # Ends are numbered anew. Those that nobody had read were forgotten,
+        # and the tasks started again.
+        worker = system.fleet.workers["w0"]
+        evacuate(system, "dc1")
+        system.submit(entry, "00000000000000bb", systems.build_spec())
+        first = "00000000000000bb.0.0.0"
+        systems.wait_until(lambda: first in worker.running)
+        worker.end(first, "done")
+        session = entry._owner.fleet.sessions["w0"]
+        systems.wait_until(lambda: session.last_seen == 1)
+        keep_renewal(worker)
+        restart(system, worker)
+        wait_until_open(entry, "w0")
+        system.submit(entry, JOB, systems.build_spec())
+        systems.wait_until(lambda: TASK in worker.running)
+        gevent.sleep(0.3)
+        worker.end(TASK, "done")
+        worker.run_late()
+        systems.wait_until(
+            lambda: entry.job_api.get_job_state(job=JOB) is table.JobState.DONE
+        )
+        assert system.list_starts().count((TASK, 1)) == 1
+        assert (TASK, 2) not in system.list_starts()
+
+
+class TestLateStarts:
+    @KNOWN_RED
+    def test_late_start_does_not_run_in_the_next_process(self, system, entry):
+        # Its deadline is a time of the earlier clock, so it hadn't expired.
+        worker, other = (system.fleet.workers[name] for name in ("w0", "w1"))
+        evacuate(system, "dc1")
+        worker.swallow_starts = 1
+        system.submit(entry, JOB, systems.build_spec())
+        systems.wait_until(lambda: TASK in worker.running)
+        gevent.sleep(0.3)
+        evacuate(system, "dc0")
+        worker.crash()
+        gevent.sleep(0.5)
+        system.fleet.restart("w0")
+        systems.wait_until(lambda: TASK in other.running)
+        outcomes = worker.run_late()
+        assert [one.kind for one in outcomes] == [errors.Kind.FENCED]
+        assert system.list_overlaps() == []
+
+    @KNOWN_RED
+    def test_lease_of_a_start_that_the_next_process_got_is_counted(
+        self, system, entry
+    ):
+        # The owner had not noticed the restart: the deadline of the earlier
+        # clock gives the longest lease there, not that of a start.
+        worker = system.fleet.workers["w0"]
+        evacuate(system, "dc1")
+        until_ms = worker.lease_until_ms
+        systems.wait_until(lambda: worker.lease_until_ms > until_ms)
+        gevent.sleep(0.8)
+        worker.crash()
+        worker.restart(worker.report._replace(life=2))
+        worker.swallow_renewals = 1_000
+        system.submit(entry, JOB, systems.build_spec())
+        systems.wait_until(lambda: TASK in worker.running)
+        worker.is_cut = True
+        evacuate(system)
+        systems.wait_until(lambda: len(system.list_starts()) == 2)
+        gevent.sleep(LEASE_S)
+        assert system.list_overlaps() == []
+
+
+class TestLateCommands:
+    @KNOWN_RED
+    def test_next_process_refuses_calls_for_the_earlier_one(
+        self, system, entry
+    ):
+        # Of all calls that name an earlier process, none may have an effect.
+        worker = system.fleet.workers["w0"]
+        fence = worker.fence
+        restart(system, worker)
+        wait_until_open(entry, "w0")
+        command = commands.interfaces.RunCommand(TASK, 1, fence)
+        for outcome in (
+            worker.stop(command, timeout_s=1.0),
+            worker.set_pace(command, 50, timeout_s=1.0),
+            worker._renew_lease(fence, 9, worker.read_clock_ms() + 60_000),
+        ):
+            assert outcome.kind is errors.Kind.FENCED
