Raised the fence of a worker with each of its processes.

A call without an answer was carried out by the next process of the worker, which has the same id: a renewal gave it a lease that the owner did not count, a start ran beside a later run, and the numbers of ends let it forget ends that nobody had read.

Cause: the process was named by its id alone. Its clock starts near 0, so that no deadline of the earlier clock has passed, and it has seen no fence.

Change: an owner has a range of fences above its epoch, and raises the fence of a worker with each process of it. A process counts as known once it answered a renewal with the raised fence; until then nothing starts there, it gets no lease, and its lists do not count. A restart also shows by a clock that went back in any answer; answers of an earlier process no longer set the clock, and a refused fence that the owner itself has replaced does not depose it.

Why it works: after the first answer with the raised fence, the process refuses every call that was sent before; leases by calls carried out earlier end within one lease from that answer, which is what the owner then waits for.

Tests that named the first epoch as 1 name it as FIRST_EPOCH; the drawn capacity faults ask for a third epoch as before.

--- a/chervilcove/control/commands.py
+++ b/chervilcove/control/commands.py
@@ -32,7 +32,6 @@
     """Send the commands of one owner to the workers.
 
     Args:
-        epoch: Epoch of the owner, which fences its commands.
         fleet: Workers of the owner.
         on_deposed: Called with a reason when a worker knows a newer owner.
         wake: Requests a scheduling round.
@@ -44,14 +43,12 @@
     def __init__(
         self,
         *,
-        epoch: int,
         fleet: fleets.Fleet,
         on_deposed: Callable[[str], None],
         wake: Callable[[], None],
         may_start: Callable[[], bool],
         metrics: metric_values.Metrics,
     ):
-        self._epoch = epoch
         self._fleet = fleet
         self._on_deposed = on_deposed
         self._wake = wake
@@ -92,6 +89,11 @@
                     break
                 if member.phase is not runs.Phase.ORDERED:
                     return
+                if session.life != member.place.life:
+                    refusal = errors.refuse(
+                        errors.Kind.STALE_REVISION, "worker has restarted"
+                    )
+                    break
                 if not self._may_start():
                     # The process was paused, or the ledger is away.
                     refusal = errors.refuse(
@@ -99,9 +101,10 @@
                         "the ledger has not heard the owner for too long",
                     )
                     break
-                outcome = self._call_start(session, payload, run, member)
+                call = session.begin_call()
+                outcome = self._call_start(session, call, payload, run, member)
             if not errors.is_refusal(outcome):
-                session.record_clock(outcome)
+                session.record_answer(call, outcome)
                 if member.phase is runs.Phase.ORDERED:
                     member.phase = runs.Phase.KNOWN
                     member.changed_at = time.monotonic()
@@ -112,10 +115,12 @@
             refusal = outcome
             self._metrics.count(f"starts.refused.{outcome.kind.value}")
             if outcome.kind is errors.Kind.FENCED:
-                self._on_deposed(f"worker {member.place.worker} is fenced")
-                return
+                if session.is_deposing(call):
+                    self._on_deposed(f"worker {member.place.worker} is fenced")
+                    return
+                continue
             if outcome.kind is errors.Kind.DEADLINE_EXCEEDED:
-                session.record_clock(outcome.detail["clock_ms"])
+                session.record_answer(call, outcome.detail["clock_ms"])
                 continue
             if outcome.kind is errors.Kind.CONNECT_FAILED:
                 gevent.sleep(START_RETRY_S)
@@ -154,6 +159,7 @@
     def _call_start(
         self,
         session: sessions.Session,
+        call: sessions.SentCall,
         payload: str,
         run: runs.Run,
         member: runs.Member,
@@ -161,7 +167,7 @@
         expires_ms = session.estimate_clock_ms() + START_VALID_MS
         session.record_lease(expires_ms)
         return session.client.start(
-            interfaces.RunCommand(member.task, run.number, self._epoch),
+            interfaces.RunCommand(member.task, run.number, call.fence),
             interfaces.StartOptions(
                 payload,
                 expires_ms,
@@ -202,18 +208,19 @@
             session = self._fleet.sessions.get(member.place.worker)
             if session is None:
                 break
+            call = session.begin_call()
             outcome = session.client.stop(
-                interfaces.RunCommand(member.task, run.number, self._epoch),
+                interfaces.RunCommand(member.task, run.number, call.fence),
                 timeout_s=STOP_TIMEOUT_S,
             )
             if not errors.is_refusal(outcome):
-                session.record_clock(outcome)
+                session.record_answer(call, outcome)
                 member.is_stop_confirmed = True
                 member.changed_at = time.monotonic()
                 session.wake()
                 return
             self._metrics.count(f"stops.refused.{outcome.kind.value}")
-            if outcome.kind is errors.Kind.FENCED:
+            if outcome.kind is errors.Kind.FENCED and session.is_deposing(call):
                 self._on_deposed(f"worker {member.place.worker} is fenced")
                 return
             gevent.sleep(STOP_RETRY_S)
@@ -234,18 +241,19 @@
         if session is None:
             member.pace = None
             return
+        call = session.begin_call()
         outcome = session.client.set_pace(
-            interfaces.RunCommand(member.task, run.number, self._epoch),
+            interfaces.RunCommand(member.task, run.number, call.fence),
             percent,
             timeout_s=PACE_TIMEOUT_S,
         )
         if not errors.is_refusal(outcome):
-            session.record_clock(outcome)
+            session.record_answer(call, outcome)
             return
         # Unset, so that the pace is sent again after the next renewal.
         member.pace = None
         self._metrics.count(f"paces.refused.{outcome.kind.value}")
-        if outcome.kind is errors.Kind.FENCED:
+        if outcome.kind is errors.Kind.FENCED and session.is_deposing(call):
             self._on_deposed(f"worker {member.place.worker} is fenced")
 
     def stop_stray_run(
@@ -258,7 +266,7 @@
         self, session: sessions.Session, task: str, number: int
     ) -> None:
         session.client.stop(
-            interfaces.RunCommand(task, number, self._epoch),
+            interfaces.RunCommand(task, number, session.fence),
             timeout_s=STOP_TIMEOUT_S,
         )
 
--- a/chervilcove/control/elections.py
+++ b/chervilcove/control/elections.py
@@ -1,7 +1,7 @@
 """Elections: which entry is the owner.
 
-A claim is the first append of a new epoch, which is one above the newest epoch
-that the claiming entry has read. The ledger ignores a second first append of an
+A claim is the first append of a new epoch, which follows the newest epoch that
+the claiming entry has read. The ledger ignores a second first append of an
 epoch and refuses lower epochs, so only one of several claims is stored. Other
 appends meanwhile, and appends that are executed late, don't change that. A
 claim takes effect once its entry reads it back. So an append without an answer
@@ -15,6 +15,7 @@
 import xxhash
 
 from chervilcove.control import clocks
+from chervilcove.control import fences
 from chervilcove.control import follower as followers
 from chervilcove.control import interfaces
 from chervilcove.core import errors
@@ -187,7 +188,9 @@
         if epoch is None:
             return
         self.step_down("the entry is stopping")
-        outcome = self._append(epoch + 1, is_resigned=True)
+        outcome = self._append(
+            fences.compute_next_epoch(epoch), is_resigned=True
+        )
         self.log.info(
             "ownership_handed_over",
             epoch=epoch,
@@ -252,7 +255,7 @@
             return
         if delay_s > STALE_CHECK_S and self._has_owner_written():
             return
-        epoch = self._follower.table.epoch + 1
+        epoch = fences.compute_next_epoch(self._follower.table.epoch)
         outcome = self._append(epoch, is_resigned=False)
         self.log.info(
             "ownership_claimed",
--- a/chervilcove/control/fleet.py
+++ b/chervilcove/control/fleet.py
@@ -11,6 +11,7 @@
 
 import gevent
 
+from chervilcove.control import fences
 from chervilcove.control import interfaces
 from chervilcove.control import sessions
 from chervilcove.core import logs
@@ -56,7 +57,7 @@
         self._leave_times: dict[str, float] = {}
         self._log = logs.Log(source="fleet")
         self._connector = connector
-        self._epoch = epoch
+        self._fences = fences.WorkerFences(epoch=epoch)
         self._may_renew = may_renew
         self._is_busy = is_busy
         self._on_renewal = on_renewal
@@ -201,21 +202,26 @@
         delay_s: float,
     ) -> None:
         """Open a session with a worker, or with its restarted process."""
+        if not self._fences.advance(report.id):
+            self._on_deposed(f"worker {report.id} restarted too often")
         expires_at = self.inherited_expiry
+        lease_sent_at = float("-inf")
         if old is not None:
             expires_at = old.expires_at
+            lease_sent_at = old.lease_sent_at
             old.kill()
             gevent.spawn(old.client.close)
         session = sessions.Session(
             report=report,
             client=self._connector.connect_worker(report),
-            epoch=self._epoch,
+            fences=self._fences,
             expires_at=expires_at,
             on_renewal=self._on_renewal,
             on_deposed=self._on_deposed,
             may_renew=self._may_renew,
             is_busy=self._is_busy,
             delay_s=delay_s,
+            lease_sent_at=lease_sent_at,
         )
         self.sessions[report.id] = session
         previous = self.resources.by_worker.get(report.id)
--- a/chervilcove/control/interfaces.py
+++ b/chervilcove/control/interfaces.py
@@ -172,7 +172,8 @@
     Attributes:
         task: Name of the task.
         run: Number of the run.
-        fence: Epoch of the owner; a worker rejects lower ones.
+        fence: Fence of the owner for the worker's present process; a worker
+            rejects lower ones.
     """
 
     task: str
@@ -237,7 +238,7 @@
         """Extend the lease of all runs; return running and ended tasks.
 
         Args:
-            fence: Epoch of the owner.
+            fence: Fence of the owner for the worker's present process.
             last_seen: Number of the newest end that the worker may forget.
             lease_until_ms: End of the lease on the worker's clock, 0 for
                 none.
--- a/chervilcove/control/owners.py
+++ b/chervilcove/control/owners.py
@@ -137,7 +137,6 @@
             log=self.log, metrics=metrics
         )
         self._commands = commands.CommandSender(
-            epoch=epoch,
             fleet=self.fleet,
             on_deposed=on_deposed,
             wake=self.wake,
@@ -291,7 +290,7 @@
         renewals, self._new_renewals = self._new_renewals, []
         for renewal in renewals:
             session = self.fleet.sessions.get(renewal.worker)
-            if session is not None:
+            if session is not None and session.fence == renewal.fence:
                 session.is_understood = self._isolation.attempt(
                     renewal.worker, self._process_renewal, renewal, session
                 )
--- a/chervilcove/control/sessions.py
+++ b/chervilcove/control/sessions.py
@@ -4,6 +4,12 @@
 the lease and reports changes. Leases are measured on the worker's own clock,
 which may be 2% slow. `Session.expires_at` is the latest moment, on this
 entry's clock, at which a run on the worker can still be alive.
+
+A worker may start again under its id. Calls for its earlier process may then be
+carried out by the present one: deadlines of the earlier clock lie far ahead of
+its own, which starts near 0. So a restart raises the fence, and the present
+process counts as known once it has answered a renewal with the new fence. Until
+then it gets no lease and no starts, and nothing it says counts.
 """
 
 from collections.abc import Callable
@@ -12,6 +18,7 @@
 
 from gevent import event
 
+from chervilcove.control import fences as fence_values
 from chervilcove.control import interfaces
 from chervilcove.control import writers
 from chervilcove.core import errors
@@ -25,6 +32,9 @@
 ANSWER_TIMEOUT_S = 0.7  # beyond the wait; workers answer in milliseconds
 RETRY_S = 0.25  # pause after a failed renewal
 ACKNOWLEDGE_WAIT_S = 0.5  # maximum wait for reported ends to be stored
+# A call without an answer may be carried out for this long after it was sent.
+# The users' pages say "seconds later"; their benches do so for up to 12 s.
+MAX_CALL_DELAY_S = 12.0
 # Renewals continue for this long after the newest stored append was sent. With
 # the lease itself, running tasks survive a ledger outage of 9 s.
 LEASE_WITHOUT_LEDGER_S = 3.0
@@ -39,22 +49,36 @@
 
     Attributes:
         worker: Id of the worker.
+        fence: Fence of the renewal.
         asked: Monotonic seconds at which the renewal was sent.
         reply: The answer of the worker.
     """
 
     worker: str
+    fence: int
     asked: float
     reply: interfaces.LeaseReply
 
 
+class SentCall(NamedTuple):
+    """What was known of a worker when a call to it was sent.
+
+    Attributes:
+        fence: Fence of the call.
+        least_clock_ms: Time that its clock has certainly reached, 0 if unknown.
+    """
+
+    fence: int
+    least_clock_ms: int
+
+
 class Session(tasks.Task):
     """Renew the lease of one worker.
 
     Args:
         report: Description of the worker.
         client: Client of the worker.
-        epoch: Epoch of the owner, which fences the renewals.
+        fences: Fences of the owner.
         expires_at: Monotonic seconds until which runs of earlier owners may
             be alive on the worker.
         on_renewal: Called with each answer to a renewal.
@@ -62,6 +86,8 @@
         may_renew: Tells whether leases may be extended now.
         is_busy: Tells whether the worker has runs of this owner.
         delay_s: Seconds before the first renewal.
+        lease_sent_at: Monotonic seconds at which the owner last sent the worker
+            a lease, minus infinity if never.
     """
 
     def __init__(
@@ -69,13 +95,14 @@
         *,
         report: interfaces.WorkerReport,
         client: interfaces.WorkerClient,
-        epoch: int,
+        fences: fence_values.WorkerFences,
         expires_at: float,
         on_renewal: Callable[[Renewal], None],
         on_deposed: Callable[[str], None],
         may_renew: Callable[[], bool],
         is_busy: Callable[[str], bool],
         delay_s: float = 0.0,
+        lease_sent_at: float = float("-inf"),
     ):
         super().__init__(name=f"session.{report.id}")
         self._delay_s = delay_s
@@ -89,7 +116,11 @@
         # Whether the owner could process the newest answer, None before it
         # processed any; the owner sets it.
         self.is_understood: bool | None = None
-        self._epoch = epoch
+        self._fences = fences
+        # Whether the present process has answered a renewal with its fence, so
+        # that it refuses calls for earlier processes.
+        self.is_process_known = False
+        self.lease_sent_at = lease_sent_at
         self._on_renewal = on_renewal
         self._on_deposed = on_deposed
         self._may_renew = may_renew
@@ -115,9 +146,28 @@
     def are_runs_known(self) -> bool:
         """Tell whether the owner knows what the worker runs.
 
-        Before it processed the first list, any resources may be taken.
+        Before it processed the first list of the present process, any
+        resources may be taken.
         """
-        return self.is_reachable and self.is_understood is True
+        return (
+            self.is_reachable
+            and self.is_process_known
+            and self.is_understood is True
+        )
+
+    @property
+    def fence(self) -> int:
+        """Return the fence of calls to the present process."""
+        return self._fences.get(self.report.id)
+
+    @property
+    def late_calls_end(self) -> float:
+        """Return when runs that late calls gave to any process have ended.
+
+        Returns:
+            Monotonic seconds, unless another call extends a lease.
+        """
+        return self.lease_sent_at + MAX_CALL_DELAY_S + _get_lease_s()
 
     def estimate_clock_ms(self) -> int:
         """Return the estimated clock of the worker, 0 while it is unknown.
@@ -129,10 +179,32 @@
         seen, clock_ms = self._clock
         return int(clock_ms + (time.monotonic() - seen) * 1000)
 
-    def record_clock(self, clock_ms: int) -> None:
-        """Record the worker's clock from one of its answers."""
+    def begin_call(self) -> SentCall:
+        """Return what is known of the worker, for a call sent now."""
+        if self._clock is None:
+            return SentCall(self.fence, 0)
+        seen, clock_ms = self._clock
+        passed_s = (time.monotonic() - seen) / CLOCK_SLACK
+        return SentCall(self.fence, int(clock_ms + passed_s * 1000))
+
+    def record_answer(self, call: SentCall, clock_ms: int) -> None:
+        """Record the worker's clock from its answer to `call`.
+
+        Answers may overtake each other: that of an earlier process is ignored.
+        """
+        if call.fence != self.fence:
+            return
+        if clock_ms < call.least_clock_ms:
+            self._begin_process(0)
         self._clock = (time.monotonic(), clock_ms)
 
+    def is_deposing(self, call: SentCall) -> bool:
+        """Tell whether the refused fence of `call` shows a newer owner.
+
+        The owner itself has raised the fence if the worker started again.
+        """
+        return call.fence == self.fence
+
     def record_lease(self, deadline_ms: int) -> None:
         """Extend `expires_at` for a lease that is sent, answered or not.
 
@@ -144,8 +216,10 @@
         else:
             length_s = (deadline_ms - self.estimate_clock_ms()) / 1000
         length_s = min(length_s, LEASE_MS / 1000)
-        ends = time.monotonic() + length_s * CLOCK_SLACK + EXPIRY_MARGIN_S
+        now = time.monotonic()
+        ends = now + length_s * CLOCK_SLACK + EXPIRY_MARGIN_S
         self.expires_at = max(self.expires_at, ends)
+        self.lease_sent_at = now
 
     def acknowledge(self, number: int, *, life: int) -> None:
         """Acknowledge ends up to `number`, which are stored by now.
@@ -186,22 +260,23 @@
     def _renew(self) -> None:
         is_busy = self._is_busy(self.report.id)
         wait_ms = BUSY_WAIT_MS if is_busy else IDLE_WAIT_MS
-        if self.last_answer is None or self._is_unreachable:
+        if not self.is_process_known or self._is_unreachable:
             wait_ms = 0  # get the present state of the worker first
         # A lease ends at a time on the worker's clock, which is unknown until
         # its first answer. A worker that is unreachable or isn't understood
         # gets no lease either, so that its runs end.
         until_ms = 0
         if (
-            self._clock is not None
+            self.is_process_known
             and not self._is_unreachable
             and self.is_understood is not False
         ):
             until_ms = self.estimate_clock_ms() + LEASE_MS
             self.record_lease(until_ms)
         asked = time.monotonic()
+        call = self.begin_call()
         outcome = self.client.renew_lease(
-            fence=self._epoch,
+            fence=call.fence,
             last_seen=self.last_seen,
             lease_until_ms=until_ms,
             wait_ms=wait_ms,
@@ -209,32 +284,57 @@
         )
         if self.is_stopping:
             return
+        if call.fence != self.fence:
+            return  # another process was noticed meanwhile
         if errors.is_refusal(outcome):
             self._handle_failure(outcome)
             return
         if self._is_unreachable:
             self._is_unreachable = False
             self.log.info("worker_regained", worker=self.report.id)
-        if self.last_answer is None:
-            # From now on the worker rejects leases of earlier owners.
-            length_s = LEASE_MS / 1000 * CLOCK_SLACK + EXPIRY_MARGIN_S
-            self.expires_at = time.monotonic() + length_s
         self.last_answer = time.monotonic()
-        if outcome.life and outcome.life != self.life:
-            self.log.info(
-                "worker_restarted",
-                worker=self.report.id,
-                life=outcome.life,
-                before=self.life,
-            )
-            self.life = outcome.life
-            self.last_seen = 0
-        self.record_clock(outcome.clock_ms)
+        self._clock = (time.monotonic(), outcome.clock_ms)
+        if (
+            outcome.life != self.life
+            if outcome.life and self.life
+            else outcome.clock_ms < call.least_clock_ms
+        ):
+            self._begin_process(outcome.life)
+            return
+        self.life = outcome.life or self.life
+        if not self.is_process_known:
+            # From now on the process rejects leases of earlier owners, and
+            # those that were meant for earlier processes.
+            self.is_process_known = True
+            self.expires_at = time.monotonic() + _get_lease_s()
         self._wake.clear()
-        self._on_renewal(Renewal(self.report.id, asked, outcome))
+        self._on_renewal(Renewal(self.report.id, call.fence, asked, outcome))
         if any(end.number > self.last_seen for end in outcome.ended):
             self._wake.wait(timeout=ACKNOWLEDGE_WAIT_S)
 
+    def _begin_process(self, life: int) -> None:
+        """Begin anew with another process of the worker.
+
+        Args:
+            life: Start of that process, 0 if unknown.
+        """
+        self.log.info(
+            "worker_restarted",
+            worker=self.report.id,
+            life=life,
+            before=self.life,
+            fence=self.fence + 1,
+        )
+        if not self._fences.advance(self.report.id):
+            self._on_deposed(f"worker {self.report.id} restarted too often")
+            return
+        self.life = life
+        self.last_seen = 0
+        self.is_process_known = False
+        self.is_understood = None
+        # Its runs may have got leases by calls for the earlier process.
+        self.expires_at = max(self.expires_at, self.late_calls_end)
+
     def _handle_failure(self, refusal: errors.Refusal) -> None:
         if refusal.kind is errors.Kind.FENCED:
             self._on_deposed(f"worker {self.report.id} knows a newer owner")
@@ -249,3 +349,8 @@
                 reason=refusal.reason,
             )
         self.sleep(RETRY_S)
+
+
+def _get_lease_s() -> float:
+    """Return the longest life of a lease from its start, in seconds."""
+    return LEASE_MS / 1000 * CLOCK_SLACK + EXPIRY_MARGIN_S
--- a/chervilcove/jobs/records.py
+++ b/chervilcove/jobs/records.py
@@ -194,7 +194,7 @@
     """Claim that makes an entry the owner.
 
     Attributes:
-        epoch: One more than the epoch of the previous claim.
+        epoch: Epoch that follows the one of the previous claim.
         entry: Name of the entry.
         incarnation: Incarnation of the entry, which identifies its process.
         is_resigned: Whether the entry gave up the ownership.
--- a/chervilcove/standins/fleet.py
+++ b/chervilcove/standins/fleet.py
@@ -59,7 +59,7 @@
         lease_limit_ms: Longest lease that it accepts; tasks lapse with it. With
             0 they run on after the lease.
         clock_start: Monotonic seconds at which its clock read 0.
-        fence: Highest epoch of an owner that the worker has seen.
+        fence: Highest fence that the worker has seen.
         crashing_tasks: Tasks whose start crashes the worker.
         stop_delay_s: Seconds from a stop to the end of its run.
         get_need: Returns the resources of a task, by its name.
--- a/tests/control/system.py
+++ b/tests/control/system.py
@@ -8,6 +8,7 @@
 import pytest
 
 from chervilcove.control import core
+from chervilcove.control import fences
 from chervilcove.control import interfaces
 from chervilcove.core import metrics as metric_values
 from chervilcove.core import web
@@ -20,6 +21,7 @@
 from chervilcove.standins import ledger as ledgers
 
 WAIT_TIMEOUT_S = 20.0
+FIRST_EPOCH = fences.compute_next_epoch(0)
 
 QUEUES = [
     configuration.Queue(
--- a/tests/control/test_capacity_faults.py
+++ b/tests/control/test_capacity_faults.py
@@ -6,6 +6,7 @@
 import pytest
 
 from chervilcove.control import commands
+from chervilcove.control import fences
 from chervilcove.control import sessions
 from chervilcove.jobs import specs
 from chervilcove.jobs import table
@@ -135,7 +136,8 @@
         finally:
             play.system.kill_all()
         assert len(starts) > 20
-        assert any(one.table.epoch > 2 for one in followers)
+        second_epoch = fences.compute_next_epoch(systems.FIRST_EPOCH)
+        assert any(one.table.epoch > second_epoch for one in followers)
         assert any(
             job.get_state() is table.JobState.DONE
             for one in followers
--- a/tests/control/test_elections.py
+++ b/tests/control/test_elections.py
@@ -4,6 +4,7 @@
 import logbook
 
 from chervilcove.control import elections
+from chervilcove.control import fences
 from chervilcove.control import interfaces
 from chervilcove.control import sessions
 from chervilcove.core import errors
@@ -34,7 +35,9 @@
         systems.wait_until(lambda: list_owners(system))
         gevent.sleep(0.7)
         assert len(list_owners(system)) == 1
-        assert [claim.epoch for claim in list_claims(system)] == [1]
+        assert [claim.epoch for claim in list_claims(system)] == [
+            systems.FIRST_EPOCH
+        ]
 
     def test_claim_succeeds_during_concurrent_appends(self, system):
         # In incident inc-caf6, claims that required the exact end of the ledger
@@ -65,10 +68,10 @@
         first._election.resign()
         second = system.add_entry("b")
         systems.wait_until(lambda: second._owner is not None)
-        claim = records.Claim(1, "a", first.incarnation)
+        claim = records.Claim(systems.FIRST_EPOCH, "a", first.incarnation)
         refused = system.ledger.append(
             [("owner", records.encode_value(claim))],
-            fence=interfaces.Fence(1, 0),
+            fence=interfaces.Fence(systems.FIRST_EPOCH, 0),
             timeout_s=1.0,
         )
         assert refused.kind == "fenced"
@@ -77,10 +80,11 @@
     def test_owner_stops_after_a_claim_of_another_entry(self, system):
         first = system.add_entry("a")
         systems.wait_until(lambda: list_owners(system))
-        claim = records.Claim(2, "b", "elsewhere")
+        epoch = fences.compute_next_epoch(systems.FIRST_EPOCH)
+        claim = records.Claim(epoch, "b", "elsewhere")
         system.ledger.append(
             [("owner", records.encode_value(claim))],
-            fence=interfaces.Fence(2, 0),
+            fence=interfaces.Fence(epoch, 0),
             timeout_s=1.0,
         )
         systems.wait_until(lambda: first._owner is None)
@@ -131,7 +135,7 @@
         system.ledger.is_down = False
         gevent.sleep(1.0)
         assert [entry.name for entry in list_owners(system)] == ["a"]
-        assert first._election.epoch == 1
+        assert first._election.epoch == systems.FIRST_EPOCH
 
     def test_entry_reloads_when_its_next_records_have_expired(self, system):
         system.add_entry("a")
@@ -147,7 +151,7 @@
                 >= system.ledger.first_offset
             )
         )
-        assert second.job_api._follower.table.epoch >= 1
+        assert second.job_api._follower.table.epoch >= systems.FIRST_EPOCH
 
     def test_owner_whose_entry_restarted_is_replaced_without_a_timeout(
         self, system, monkeypatch
@@ -180,7 +184,9 @@
 
         monkeypatch.setattr(system.ledger, "read", read_without_news)
         gevent.sleep(2.5)
-        assert [claim.epoch for claim in list_claims(system)] == [1]
+        assert [claim.epoch for claim in list_claims(system)] == [
+            systems.FIRST_EPOCH
+        ]
 
 
 class TestEarlierOwners:
@@ -304,7 +310,9 @@
         first._owner.writer._ledger = system.ledger
         gevent.sleep(1.0)
         assert [entry.name for entry in list_owners(system)] == ["a"]
-        assert [claim.epoch for claim in list_claims(system)] == [1]
+        assert [claim.epoch for claim in list_claims(system)] == [
+            systems.FIRST_EPOCH
+        ]
 
 
 class TestRank:
--- a/tests/control/test_followers.py
+++ b/tests/control/test_followers.py
@@ -185,4 +185,4 @@
             lambda: entry.job_api.get_job_state(job=JOB) is table.JobState.DONE
         )
         assert entry._owner is owner
-        assert owner.epoch == 1
+        assert owner.epoch == systems.FIRST_EPOCH
--- a/tests/control/test_lease_bounds.py
+++ b/tests/control/test_lease_bounds.py
@@ -8,6 +8,7 @@
 
 from chervilcove.control import clocks
 from chervilcove.control import elections
+from chervilcove.control import fences
 from chervilcove.control import follower as followers
 from chervilcove.control import sessions
 from chervilcove.core import metrics as metric_values
@@ -65,7 +66,7 @@
         self.follower._apply(chunk, is_live=True)
 
     def claim(self, *, is_resigned=False):
-        epoch = self.follower.table.epoch + 1
+        epoch = fences.compute_next_epoch(self.follower.table.epoch)
         self.election._append(epoch, is_resigned=is_resigned)
 
 
--- a/tests/control/test_operator_failures.py
+++ b/tests/control/test_operator_failures.py
@@ -128,7 +128,9 @@
         monkeypatch.setattr(system.ledger, "append", append_and_pause)
         owner = systems.wait_until(lambda: entry._owner)
         gevent.sleep(0.3)
-        assert [fence.epoch for fence in claims] == [1] * tries
+        assert [fence.epoch for fence in claims] == [
+            systems.FIRST_EPOCH
+        ] * tries
         assert not any(one.last_answer for one in owner.fleet.sessions.values())
 
     def test_stored_start_is_not_sent_after_a_pause(
--- a/tests/control/test_worker_restarts.py
+++ b/tests/control/test_worker_restarts.py
@@ -19,7 +19,6 @@
 TASK = f"{JOB}.0.0.0"
 LEASE_S = 2.0
 OLD_CLOCK_S = 1_000.0
-KNOWN_RED = pytest.mark.xfail(strict=True, reason="issue 38, KNOWN-RED.txt")
 
 
 @pytest.fixture
@@ -73,7 +72,6 @@
 
 
 class TestLateRenewals:
-    @KNOWN_RED
     def test_late_renewal_gives_the_next_process_no_lease(self, system, entry):
         # The owner counted a run as lost that still had a lease: two at once.
         worker = system.fleet.workers["w0"]
@@ -92,7 +90,6 @@
         gevent.sleep(LEASE_S)
         assert system.list_overlaps() == []
 
-    @KNOWN_RED
     def test_late_renewal_drops_no_ends_of_the_next_process(
         self, system, entry
     ):
@@ -122,7 +119,6 @@
 
 
 class TestLateStarts:
-    @KNOWN_RED
     def test_late_start_does_not_run_in_the_next_process(self, system, entry):
         # Its deadline is a time of the earlier clock, so it hadn't expired.
         worker, other = (system.fleet.workers[name] for name in ("w0", "w1"))
@@ -140,7 +136,6 @@
         assert [one.kind for one in outcomes] == [errors.Kind.FENCED]
         assert system.list_overlaps() == []
 
-    @KNOWN_RED
     def test_lease_of_a_start_that_the_next_process_got_is_counted(
         self, system, entry
     ):
@@ -162,9 +157,33 @@
         gevent.sleep(LEASE_S)
         assert system.list_overlaps() == []
 
+    def test_owner_stays_when_its_late_start_is_fenced(self, system, entry):
+        # The refusal of a call for an earlier process names no newer owner.
+        worker = system.fleet.workers["w0"]
+        evacuate(system, "dc1")
+        owner = entry._owner
+        session = owner.fleet.sessions["w0"]
+        refused = errors.refuse(errors.Kind.FENCED, "epoch is stale")
+        starts = []
+
+        def start(command, details, *, timeout_s):
+            del details, timeout_s
+            starts.append(command)
+            if len(starts) == 1:
+                restart(system, worker)
+                systems.wait_until(
+                    lambda: worker.fence > command.fence and session.life != 1
+                )
+            return refused
+
+        worker.start = start
+        system.submit(entry, JOB, systems.build_spec())
+        systems.wait_until(lambda: starts)
+        gevent.sleep(0.5)
+        assert entry._owner is owner
+
 
 class TestLateCommands:
-    @KNOWN_RED
     def test_next_process_refuses_calls_for_the_earlier_one(
         self, system, entry
     ):
@@ -180,3 +199,33 @@
             worker._renew_lease(fence, 9, worker.read_clock_ms() + 60_000),
         ):
             assert outcome.kind is errors.Kind.FENCED
+
+    def test_successor_is_above_all_fences_of_an_owner(self, system, entry):
+        # Each restart of a worker raises the fence of its owner there.
+        worker = system.fleet.workers["w0"]
+        for _ in range(3):
+            restart(system, worker)
+            wait_until_open(entry, "w0")
+        fence = worker.fence
+        second = system.add_entry("b")
+        systems.wait_until(lambda: second._follower.is_current)
+        entry._election.resign()
+        systems.wait_until(lambda: second._owner)
+        wait_until_open(second, "w0")
+        assert worker.fence > fence
+        assert second._owner is not None
+
+
+class TestClocks:
+    def test_clock_of_an_earlier_process_is_not_kept(self, system, entry):
+        # Answers on different connections may overtake each other. With the
+        # earlier clock no start would have expired in the next process.
+        worker = system.fleet.workers["w0"]
+        session = entry._owner.fleet.sessions["w0"]
+        call = session.begin_call()
+        worker.crash()
+        worker.restart(worker.report._replace(life=2))
+        systems.wait_until(lambda: session.life == 2)
+        systems.wait_until(lambda: 0 < session.estimate_clock_ms() < 60_000)
+        session.record_answer(call, int(OLD_CLOCK_S * 1000) + 500)
+        assert session.estimate_clock_ms() < 60_000
