Waited for starts that a process out of reach may carry out late.

What was seen, in a test only: two runs of a task at once. A start got no answer, the worker was cut off and started again under its id, and its next process carried the start out after the lease of the earlier one had ended, so that the run was already given up.

The deadline of the start is a time of the earlier clock.

Once the worker answered later than the start may be carried out, or with the raised fence, it counts as before.

Why it works: no call is carried out later than MAX_CALL_DELAY_S, and each lease is counted from there.

--- a/chervilcove/control/commands.py
+++ b/chervilcove/control/commands.py
@@ -125,6 +125,9 @@
             if outcome.kind is errors.Kind.CONNECT_FAILED:
                 gevent.sleep(START_RETRY_S)
             elif outcome.kind is errors.Kind.OUTCOME_UNKNOWN:
+                member.late_start_until = (
+                    time.monotonic() + sessions.MAX_CALL_DELAY_S
+                )
                 self._log.info(
                     "start_unanswered",
                     task=member.task,
--- a/chervilcove/control/fleet.py
+++ b/chervilcove/control/fleet.py
@@ -153,6 +153,25 @@
             return self.inherited_expiry
         return session.expires_at
 
+    def may_start_late(self, worker: str, late_start_until: float) -> bool:
+        """Tell whether a worker may run a start that got no answer.
+
+        A process of the worker that the owner can't reach may carry it out.
+
+        Args:
+            worker: Id of the worker.
+            late_start_until: Monotonic seconds until which the start may be
+                carried out.
+        """
+        session = self.sessions.get(worker)
+        if session is None:
+            return False
+        is_over = (
+            session.last_answer is not None
+            and session.last_answer >= late_start_until
+        )
+        return not is_over and time.monotonic() < session.late_calls_end
+
     def stop(self) -> None:
         """End all sessions immediately."""
         for session in self.sessions.values():
--- a/chervilcove/control/owners.py
+++ b/chervilcove/control/owners.py
@@ -612,20 +612,26 @@
             return
         self._untracked.replace(worker, [])
         has_left = self.fleet.has_announced_departure(worker)
-        for key in list(self._runs_by_worker.get(worker, ())):
-            run = self._runs[key]
-            for member in run.members:
-                if (
-                    member.place.worker == worker
-                    and member.phase is not runs.Phase.ENDED
-                ):
-                    # A start without an answer may never have come.
-                    member.has_crashed_worker = (
-                        member.phase is runs.Phase.KNOWN and not has_left
-                    )
-                    self._end_member(
-                        run, member, "lost", evidence="lease_expired"
-                    )
+        alive = [
+            (self._runs[key], member)
+            for key in self._runs_by_worker.get(worker, ())
+            for member in self._runs[key].members
+            if member.place.worker == worker
+            and member.phase is not runs.Phase.ENDED
+        ]
+        lost = [
+            (run, member)
+            for run, member in alive
+            if not self.fleet.may_start_late(worker, member.late_start_until)
+        ]
+        if alive and not lost:
+            return
+        for run, member in lost:
+            # A start without an answer may never have come.
+            member.has_crashed_worker = (
+                member.phase is runs.Phase.KNOWN and not has_left
+            )
+            self._end_member(run, member, "lost", evidence="lease_expired")
         self._record_ends(worker)
         self.fleet.health.record_unresponsive(worker, now)
 
--- a/chervilcove/control/runs.py
+++ b/chervilcove/control/runs.py
@@ -36,6 +36,8 @@
         is_stop_confirmed: Whether the worker confirmed a stop, after which it
             rejects starts of this run.
         is_stop_sent: Whether a stop is being sent or was confirmed.
+        late_start_until: Monotonic seconds until which a start that got no
+            answer may be carried out, minus infinity if each was answered.
         is_listed: Whether the worker has listed the task as running.
         has_crashed_worker: Whether the worker's process ended under the task.
         percent: Progress in percent.
@@ -60,6 +62,7 @@
         self.outcome = ""
         self.is_stop_confirmed = False
         self.is_stop_sent = False
+        self.late_start_until = float("-inf")
         self.is_listed = False
         self.has_crashed_worker = False
         self.percent = 0.0
--- a/tests/control/test_worker_restarts.py
+++ b/tests/control/test_worker_restarts.py
@@ -136,6 +136,26 @@
         assert [one.kind for one in outcomes] == [errors.Kind.FENCED]
         assert system.list_overlaps() == []
 
+    def test_late_start_behind_a_cut_is_waited_for(
+        self, system, entry, monkeypatch
+    ):
+        # The owner can't reach the next process, which has seen no fence.
+        monkeypatch.setattr(sessions, "MAX_CALL_DELAY_S", 4.0)
+        worker = system.fleet.workers["w0"]
+        evacuate(system, "dc1")
+        worker.swallow_starts = 1
+        system.submit(entry, JOB, systems.build_spec())
+        systems.wait_until(lambda: worker.late)
+        evacuate(system)
+        worker.crash()
+        worker.restart(worker.report._replace(life=2))
+        worker.is_cut = True
+        gevent.sleep(3.5)
+        worker.run_late()
+        assert TASK in worker.running
+        systems.wait_until(lambda: len(system.list_starts()) == 2)
+        assert system.list_overlaps() == []
+
     def test_lease_of_a_start_that_the_next_process_got_is_counted(
         self, system, entry
     ):
