Estimated the clocks of workers so that they are never ahead.

What was seen, in simulated time only: a run went on for 0.14 s after it counted as lost, after an outage of the ledger of 20 s (0.96 s after 60 s); its worker was cut off just then, and the renewal was carried out 1.5 s late.

Cause: the estimate of a worker's clock ran on from its newest answer at the speed of the entry's clock. Clocks of workers may be 2% slow, so that it got ahead, and a lease that is asked for by it was longer than counted. Class: a bound that holds for the usual age of a value is taken for one that always holds.

Change: the estimate is a time that the clock has certainly reached. Deadlines of leases and starts, the count of a lease and the check for a clock that went back use it.

Result: the case of 20 s failed before, one of 60 s is new; the case of many starts failed before, which waits for unanswered starts, and passes without that too by the same estimate (by reading, not run).

--- a/chervilcove/control/sessions.py
+++ b/chervilcove/control/sessions.py
@@ -65,11 +65,11 @@
 
     Attributes:
         fence: Fence of the call.
-        least_clock_ms: Time that its clock has certainly reached, 0 if unknown.
+        clock_ms: Time that its clock had certainly reached, 0 if unknown.
     """
 
     fence: int
-    least_clock_ms: int
+    clock_ms: int
 
 
 class Session(tasks.Task):
@@ -170,22 +170,21 @@
         return self.lease_sent_at + MAX_CALL_DELAY_S + _get_lease_s()
 
     def estimate_clock_ms(self) -> int:
-        """Return the estimated clock of the worker, 0 while it is unknown.
+        """Return a time that the worker's clock has certainly reached.
 
-        It lags by the latency of the newest answer, and is never far ahead.
+        Returns:
+            Milliseconds, 0 while nothing is known. It lags by the latency of
+            the newest answer, and by `CLOCK_SLACK` for the time since then.
         """
         if self._clock is None:
             return 0
         seen, clock_ms = self._clock
-        return int(clock_ms + (time.monotonic() - seen) * 1000)
+        passed_s = (time.monotonic() - seen) / CLOCK_SLACK
+        return int(clock_ms + passed_s * 1000)
 
     def begin_call(self) -> SentCall:
         """Return what is known of the worker, for a call sent now."""
-        if self._clock is None:
-            return SentCall(self.fence, 0)
-        seen, clock_ms = self._clock
-        passed_s = (time.monotonic() - seen) / CLOCK_SLACK
-        return SentCall(self.fence, int(clock_ms + passed_s * 1000))
+        return SentCall(self.fence, self.estimate_clock_ms())
 
     def record_answer(self, call: SentCall, clock_ms: int) -> None:
         """Record the worker's clock from its answer to `call`.
@@ -194,7 +193,7 @@
         """
         if call.fence != self.fence:
             return
-        if clock_ms < call.least_clock_ms:
+        if clock_ms < call.clock_ms:
             self._begin_process(0)
         self._clock = (time.monotonic(), clock_ms)
 
@@ -297,7 +296,7 @@
         if (
             outcome.life != self.life
             if outcome.life and self.life
-            else outcome.clock_ms < call.least_clock_ms
+            else outcome.clock_ms < call.clock_ms
         ):
             self._begin_process(outcome.life)
             return
--- a/tests/control/test_lease_clocks.py
+++ b/tests/control/test_lease_clocks.py
@@ -62,9 +62,7 @@
 
 
 class TestOldAnswers:
-    @pytest.mark.parametrize(
-        "outage_s", [3.0, 12.0, pytest.param(20.0, marks=KNOWN_RED)]
-    )
+    @pytest.mark.parametrize("outage_s", [3.0, 12.0, 20.0, 60.0])
     def test_late_lease_after_an_outage_of_the_ledger_is_waited_for(
         self, build_world, outage_s
     ):
@@ -93,7 +91,6 @@
         assert world.counts["lease_expired"]
         assert world.violations == []
 
-    @KNOWN_RED
     def test_starts_that_wait_for_many_others_are_waited_for(self, build_world):
         # A cut worker answers nothing, so each try takes its whole time.
         world = build_world(workers=1, entries=1, processors=400)
