Fixed the end of a lease before checking the permission to give it.

What was seen, in simulated time only: a process that was stopped for 4 s between the check whether it may renew and the computation of the lease gave a lease that ended 0.99 s after its successor had counted the runs as lost.

Cause: the end of the lease was computed from the time after the pause, and the permission was that of before. Class: a check, then a value computed anew.

Change: the end of a lease is computed first, then the permission is checked; the deadline of a start likewise. A pause between the two fails the check, and one after it delays a call whose deadline is fixed.

Result: the case of 4 s failed before; those of 0.1 to 2 s passed before and after.

--- a/chervilcove/control/commands.py
+++ b/chervilcove/control/commands.py
@@ -94,6 +94,7 @@
                         errors.Kind.STALE_REVISION, "worker has restarted"
                     )
                     break
+                call = session.begin_call()
                 if not self._may_start():
                     # The process was paused, or the ledger is away.
                     refusal = errors.refuse(
@@ -101,7 +102,6 @@
                         "the ledger has not heard the owner for too long",
                     )
                     break
-                call = session.begin_call()
                 outcome = self._call_start(session, call, payload, run, member)
             if not errors.is_refusal(outcome):
                 session.record_answer(call, outcome)
@@ -167,7 +167,7 @@
         run: runs.Run,
         member: runs.Member,
     ) -> int | errors.Refusal:
-        expires_ms = session.estimate_clock_ms() + START_VALID_MS
+        expires_ms = call.clock_ms + START_VALID_MS
         session.record_lease(expires_ms)
         return session.client.start(
             interfaces.RunCommand(member.task, run.number, call.fence),
--- a/chervilcove/control/sessions.py
+++ b/chervilcove/control/sessions.py
@@ -245,9 +245,6 @@
         if self._delay_s:
             self.sleep(self._delay_s)
         while not self.is_stopping:
-            if not self._may_renew():
-                self.sleep(RETRY_S)
-                continue
             try:
                 self._renew()
             except Exception as error:  # noqa: BLE001
@@ -271,6 +268,12 @@
             and self.is_understood is not False
         ):
             until_ms = self.estimate_clock_ms() + LEASE_MS
+        # The process may be paused at any point, so the permission is checked
+        # once the end of the lease is fixed.
+        if not self._may_renew():
+            self.sleep(RETRY_S)
+            return
+        if until_ms:
             self.record_lease(until_ms)
         asked = time.monotonic()
         call = self.begin_call()
--- a/tests/control/test_lease_clocks.py
+++ b/tests/control/test_lease_clocks.py
@@ -113,9 +113,7 @@
 
 
 class TestPauses:
-    @pytest.mark.parametrize(
-        "pause_s", [0.1, 0.5, 1.0, 2.0, pytest.param(4.0, marks=KNOWN_RED)]
-    )
+    @pytest.mark.parametrize("pause_s", [0.1, 0.5, 1.0, 2.0, 4.0])
     def test_pause_between_the_check_and_the_lease_is_waited_for(
         self, build_world, pause_s
     ):
