--- a/tests/control/system.py
+++ b/tests/control/system.py
@@ -68,19 +68,21 @@
 class System:
     """An in-memory ledger, in-memory workers, and entries."""
 
-    def __init__(self, workers=4):
-        self.ledger = ledgers.MemoryLedger()
+    def __init__(self, workers=4, *, ledger=None):
+        self.ledger = ledger or ledgers.MemoryLedger()
         self.fleet = fleets.MemoryFleet(count=workers)
         for worker in self.fleet.workers.values():
             worker.get_need = self.get_need
         self.operator_feed = MemoryOperatorFeed()
         self.entries = []
 
-    def add_entry(self, name, *, clock=None, has_peers=False):
+    def add_entry(
+        self, name, *, clock=None, has_peers=False, ledger=None, connector=None
+    ):
         entry = core.FleetEntry(
             name=name,
-            ledger=self.ledger,
-            connector=self.fleet,
+            ledger=ledger or self.ledger,
+            connector=connector or self.fleet,
             create_operator_feed=lambda on_change: self.operator_feed,
             caller_server=web.WebServer(host="127.0.0.1"),
             health_server=web.WebServer(host="127.0.0.1"),
