Sent no starts for a run that was lost before its order was stored.

What was seen, in tests: an owner started a gang as run 3 while its run 2 ran, and a task ordered by the same append was never started.

Cause: a start is sent by a callback once its record is stored. The store may be away for longer than the lease of a worker that is cut off; the run then ends as lost, and its unit may have a newer run before the record is stored. The callback took the unit's present run for its own: it stopped tracking it and wrote the unit as waiting. Without a newer run it raised, and the callbacks after it in that append were not called. Class: a delayed effect that does not check whether what it concerns is still in force.

Change: the callback does nothing unless its run is still the tracked one.

Why it works: a run is tracked from its order until its end, so a run that is not tracked has ended, and nothing of it was sent.

--- a/chervilcove/control/owners.py
+++ b/chervilcove/control/owners.py
@@ -934,6 +934,10 @@
         self._write_unit(start.unit, unit, lambda: self._send_starts(job, run))
 
     def _send_starts(self, job: table.Job, run: runs.Run) -> None:
+        if self._runs.get(run.key) is not run:
+            # It was lost before its record was stored, and its unit may have
+            # a newer run.
+            return
         if run.stop_reason or job.is_cancelled:
             # No start command was sent, so the run never begins.
             for member in run.members:
