--- a/tests/control/strict_standins.py
+++ b/tests/control/strict_standins.py
@@ -98,6 +98,7 @@
                 for task, run in self.running.items()
             ],
             ended=self.ended[:MAX_LISTED_ENDS],
+            is_complete=len(self.ended) < MAX_LISTED_ENDS,
         )
 
     def end(self, task, how, checkpoint=""):
