Kept an effect of a stored record that raises from stopping others.

Change: effects of stored records are carried out one by one, like the steps of a round (control/isolation.py).

Result: test_effect_that_raises_stops_no_other failed before: the second effect was not called.

--- a/chervilcove/control/isolation.py
+++ b/chervilcove/control/isolation.py
@@ -12,7 +12,7 @@
 
 
 class FaultIsolation:
-    """Carry out the steps of a round one by one.
+    """Carry out steps of a round, or effects of stored records, one by one.
 
     Args:
         log: Log of the owner.
--- a/chervilcove/control/owner_writer.py
+++ b/chervilcove/control/owner_writer.py
@@ -16,6 +16,7 @@
 
 from chervilcove.control import clocks
 from chervilcove.control import interfaces
+from chervilcove.control import isolation
 from chervilcove.control import writers
 from chervilcove.core import errors
 from chervilcove.core import metrics as metric_values
@@ -83,6 +84,9 @@
         self._time_written_at = float("-inf")  # on the boot clock
         self._on_deposed = on_deposed
         self._metrics = metrics
+        self._isolation = isolation.FaultIsolation(
+            log=self.log, metrics=metrics
+        )
         self._timeouts = writers.AppendTimeouts()
         self._waiting: list[OwnerItem] = []
         self._in_flight_count = 0  # first items of `_waiting` being appended
@@ -184,7 +188,7 @@
                 del self._waiting[: len(batch)]
                 for item in batch:
                     if item.on_stored is not None:
-                        item.on_stored()
+                        self._isolation.attempt(item.key, item.on_stored)
 
     def _append(self, batch: list[OwnerItem]) -> bool:
         """Append a batch, with retries until it is stored.
--- a/tests/control/test_writers.py
+++ b/tests/control/test_writers.py
@@ -100,6 +100,20 @@
         assert time.monotonic() - began < elections.OWNER_TIMEOUT_S
         assert {fence.sequence for fence in ledger.stored[:1]} == {1}
 
+    def test_effect_that_raises_stops_no_other(self, start):
+        # The starts that were ordered by the same append were never sent.
+        writer = start_owner(start, LossyLedger())
+        called = []
+
+        def fail():
+            raise KeyError("odd")
+
+        writer.enqueue("a", b"v", fail)
+        writer.enqueue("b", b"v", lambda: called.append("b"))
+        systems.wait_until(lambda: called)
+        counts = writer._metrics.list_counts()
+        assert counts["rounds.failed_steps"] == 1
+
     def test_slow_ledger_gets_few_tries(self, start):
         # 80 times slower than usual, the ledger takes six appends a second.
         ledger = LossyLedger()
