Kept the ranges of fences apart next to earlier builds.

Cause: found in review. An entry of an earlier build claims the epoch that is one above its predecessor's. An entry that had read that claim and one that had not would then claim epochs one apart; if the second claim is stored late, its owner's fences lie in the range of the first one's.

Change: epochs of this build are multiples of the distance.

--- a/chervilcove/control/fences.py
+++ b/chervilcove/control/fences.py
@@ -13,8 +13,12 @@
 
 
 def compute_next_epoch(epoch: int) -> int:
-    """Return the epoch that follows, above all fences of `epoch`."""
-    return epoch + FENCES_PER_EPOCH
+    """Return the epoch that follows, above all fences of `epoch`.
+
+    It is a multiple of the distance also after an epoch of an earlier build,
+    which is one above its predecessor: ranges of owners never overlap.
+    """
+    return (epoch // FENCES_PER_EPOCH + 1) * FENCES_PER_EPOCH
 
 
 class WorkerFences:
