Acknowledged no ends while a worker does not answer.

Cause: found in review. Calls may arrive while their answers are lost. If the worker has started again, its next process takes a start, and a renewal with the numbers of the earlier process makes it forget ends that nobody has read; the run then counts as lost and starts again, after an end that was noted.

Change: renewals carry no acknowledgement until the worker has answered again. Ends that were acknowledged before are forgotten anyway.

--- a/chervilcove/control/sessions.py
+++ b/chervilcove/control/sessions.py
@@ -279,7 +279,9 @@
         call = self.begin_call()
         outcome = self.client.renew_lease(
             fence=call.fence,
-            last_seen=self.last_seen,
+            # While answers are lost, another process may get the call, whose
+            # ends nobody has read.
+            last_seen=0 if self._is_unreachable else self.last_seen,
             lease_until_ms=until_ms,
             wait_ms=wait_ms,
             timeout_s=wait_ms / 1000 + ANSWER_TIMEOUT_S,
