Waited for late starts only on workers that have started again.

Runs whose start was answered were held as well once a report showed another process. A start for an earlier process, which was never sent, counted against the worker and the task.

Change: a run is waited for only if the report or an answer shows that its worker has started again, and the present process can't be reached, and a start of it may be open: it got no answer, or its answer came after the restart was noticed, or an earlier owner sent it. The latter was not waited for at all. Such a start quarantines nobody, and counts as a crash only if it may have arrived. The time from which late calls count is taken after the call; a restart that a report shows is logged; an owner whose fences are used up opens no further session.

--- a/chervilcove/control/commands.py
+++ b/chervilcove/control/commands.py
@@ -91,7 +91,7 @@
                     return
                 if session.life != member.place.life:
                     refusal = errors.refuse(
-                        errors.Kind.STALE_REVISION, "worker has restarted"
+                        errors.Kind.GONE, "worker has restarted"
                     )
                     break
                 call = session.begin_call()
@@ -103,7 +103,11 @@
                     )
                     break
                 outcome = self._call_start(session, call, payload, run, member)
+                session.lease_sent_at = time.monotonic()
             if not errors.is_refusal(outcome):
+                if call.fence != session.fence:
+                    # It may be of the process that was noticed meanwhile.
+                    member.has_open_start = True
                 session.record_answer(call, outcome)
                 if member.phase is runs.Phase.ORDERED:
                     member.phase = runs.Phase.KNOWN
@@ -118,16 +122,14 @@
                 if session.is_deposing(call):
                     self._on_deposed(f"worker {member.place.worker} is fenced")
                     return
-                continue
+                continue  # ends, as the worker has restarted
             if outcome.kind is errors.Kind.DEADLINE_EXCEEDED:
                 session.record_answer(call, outcome.detail["clock_ms"])
                 continue
             if outcome.kind is errors.Kind.CONNECT_FAILED:
                 gevent.sleep(START_RETRY_S)
             elif outcome.kind is errors.Kind.OUTCOME_UNKNOWN:
-                member.late_start_until = (
-                    time.monotonic() + sessions.MAX_CALL_DELAY_S
-                )
+                member.has_open_start = True
                 self._log.info(
                     "start_unanswered",
                     task=member.task,
@@ -152,7 +154,8 @@
             errors.Kind.GONE,
             errors.Kind.LOG_UNAVAILABLE,
         ):
-            # Expired tickets and permissions are no fault of the worker.
+            # Expired tickets and permissions are no fault of the worker, nor
+            # are starts for its earlier process.
             self._fleet.health.record_unresponsive(
                 member.place.worker, time.monotonic()
             )
--- a/chervilcove/control/fleet.py
+++ b/chervilcove/control/fleet.py
@@ -13,6 +13,7 @@
 
 from chervilcove.control import fences
 from chervilcove.control import interfaces
+from chervilcove.control import runs
 from chervilcove.control import sessions
 from chervilcove.core import logs
 from chervilcove.dispatch import health
@@ -62,10 +63,12 @@
         self._is_busy = is_busy
         self._on_renewal = on_renewal
         self._on_deposed = on_deposed
+        # Earlier owners may have sent leases until then.
+        self._inherited_until = max(time.monotonic(), renewals_end)
         # Runs of earlier owners may be alive until then on workers that don't
         # answer.
         self.inherited_expiry = (
-            max(time.monotonic(), renewals_end)
+            self._inherited_until
             + sessions.LEASE_MS / 1000 * sessions.CLOCK_SLACK
             + sessions.EXPIRY_MARGIN_S
         )
@@ -153,24 +156,23 @@
             return self.inherited_expiry
         return session.expires_at
 
-    def may_start_late(self, worker: str, late_start_until: float) -> bool:
-        """Tell whether a worker may run a start that got no answer.
+    def may_start_late(self, member: runs.Member) -> bool:
+        """Tell whether a start may still be carried out by another process.
 
-        A process of the worker that the owner can't reach may carry it out.
+        The worker has started again, and the owner can't reach its present
+        process to raise the fence there.
 
         Args:
-            worker: Id of the worker.
-            late_start_until: Monotonic seconds until which the start may be
-                carried out.
+            member: Task that was started on the worker.
         """
-        session = self.sessions.get(worker)
-        if session is None:
-            return False
-        is_over = (
-            session.last_answer is not None
-            and session.last_answer >= late_start_until
+        session = self.sessions.get(member.place.worker)
+        return (
+            member.has_open_start
+            and session is not None
+            and not session.is_process_known
+            and session.life != member.place.life
+            and time.monotonic() < session.late_calls_end
         )
-        return not is_over and time.monotonic() < session.late_calls_end
 
     def stop(self) -> None:
         """End all sessions immediately."""
@@ -223,13 +225,22 @@
         """Open a session with a worker, or with its restarted process."""
         if not self._fences.advance(report.id):
             self._on_deposed(f"worker {report.id} restarted too often")
+            return
         expires_at = self.inherited_expiry
-        lease_sent_at = float("-inf")
+        lease_sent_at = self._inherited_until
         if old is not None:
             expires_at = old.expires_at
             lease_sent_at = old.lease_sent_at
             old.kill()
             gevent.spawn(old.client.close)
+            if report.life != old.life:
+                self._log.info(
+                    "worker_restarted",
+                    worker=report.id,
+                    life=report.life,
+                    before=old.life,
+                    fence=self._fences.get(report.id),
+                )
         session = sessions.Session(
             report=report,
             client=self._connector.connect_worker(report),
--- a/chervilcove/control/owners.py
+++ b/chervilcove/control/owners.py
@@ -245,6 +245,7 @@
             member.phase = phase
             if phase is runs.Phase.KNOWN:
                 member.pace = None  # an earlier owner may have set it
+                member.has_open_start = True
             members.append(member)
             self._runs_by_worker.setdefault(place.worker, set()).add(key)
             self.fleet.resources.allocate(placed)
@@ -362,13 +363,16 @@
                     and renewal.asked > member.changed_at
                 ):
                     life = reply.life or member.place.life
-                    member.has_crashed_worker = life != member.place.life
+                    member.has_crashed_worker = life != member.place.life and (
+                        member.phase is runs.Phase.KNOWN
+                        or member.has_open_start
+                    )
                     self._end_member(
                         run,
                         member,
                         "lost",
                         evidence="worker_restarted"
-                        if member.has_crashed_worker
+                        if life != member.place.life
                         else "not_listed",
                     )
         self._record_ends(renewal.worker)
@@ -626,7 +630,7 @@
         lost = [
             (run, member)
             for run, member in alive
-            if not self.fleet.may_start_late(worker, member.late_start_until)
+            if not self.fleet.may_start_late(member)
         ]
         if alive and not lost:
             return
--- a/chervilcove/control/runs.py
+++ b/chervilcove/control/runs.py
@@ -36,8 +36,8 @@
         is_stop_confirmed: Whether the worker confirmed a stop, after which it
             rejects starts of this run.
         is_stop_sent: Whether a stop is being sent or was confirmed.
-        late_start_until: Monotonic seconds until which a start that got no
-            answer may be carried out, minus infinity if each was answered.
+        has_open_start: Whether a start of it may still be carried out: one got
+            no answer, or an earlier owner sent it.
         is_listed: Whether the worker has listed the task as running.
         has_crashed_worker: Whether the worker's process ended under the task.
         percent: Progress in percent.
@@ -62,7 +62,7 @@
         self.outcome = ""
         self.is_stop_confirmed = False
         self.is_stop_sent = False
-        self.late_start_until = float("-inf")
+        self.has_open_start = False
         self.is_listed = False
         self.has_crashed_worker = False
         self.percent = 0.0
--- a/chervilcove/control/sessions.py
+++ b/chervilcove/control/sessions.py
@@ -32,8 +32,8 @@
 ANSWER_TIMEOUT_S = 0.7  # beyond the wait; workers answer in milliseconds
 RETRY_S = 0.25  # pause after a failed renewal
 ACKNOWLEDGE_WAIT_S = 0.5  # maximum wait for reported ends to be stored
-# A call without an answer may be carried out for this long after it was sent.
-# The users' pages say "seconds later"; their benches do so for up to 12 s.
+# Longest time from sending a call without an answer to its execution; the
+# interface only says "seconds later".
 MAX_CALL_DELAY_S = 12.0
 # Renewals continue for this long after the newest stored append was sent. With
 # the lease itself, running tasks survive a ledger outage of 9 s.
@@ -86,8 +86,8 @@
         may_renew: Tells whether leases may be extended now.
         is_busy: Tells whether the worker has runs of this owner.
         delay_s: Seconds before the first renewal.
-        lease_sent_at: Monotonic seconds at which the owner last sent the worker
-            a lease, minus infinity if never.
+        lease_sent_at: Monotonic seconds until which leases may have been sent
+            to the worker.
     """
 
     def __init__(
@@ -101,8 +101,8 @@
         on_deposed: Callable[[str], None],
         may_renew: Callable[[], bool],
         is_busy: Callable[[str], bool],
+        lease_sent_at: float,
         delay_s: float = 0.0,
-        lease_sent_at: float = float("-inf"),
     ):
         super().__init__(name=f"session.{report.id}")
         self._delay_s = delay_s
@@ -162,10 +162,12 @@
 
     @property
     def late_calls_end(self) -> float:
-        """Return when runs that late calls gave to any process have ended.
+        """Return when no call that was sent so far can keep a run alive.
+
+        Holds for any process of the worker, also one that is not known.
 
         Returns:
-            Monotonic seconds, unless another call extends a lease.
+            Monotonic seconds.
         """
         return self.lease_sent_at + MAX_CALL_DELAY_S + _get_lease_s()
 
@@ -189,7 +191,8 @@
     def record_answer(self, call: SentCall, clock_ms: int) -> None:
         """Record the worker's clock from its answer to `call`.
 
-        Answers may overtake each other: that of an earlier process is ignored.
+        Answers may overtake each other: one to a call from before the present
+        process was noticed may be of an earlier one, and is ignored.
         """
         if call.fence != self.fence:
             return
@@ -215,10 +218,8 @@
         else:
             length_s = (deadline_ms - self.estimate_clock_ms()) / 1000
         length_s = min(length_s, LEASE_MS / 1000)
-        now = time.monotonic()
-        ends = now + length_s * CLOCK_SLACK + EXPIRY_MARGIN_S
+        ends = time.monotonic() + length_s * CLOCK_SLACK + EXPIRY_MARGIN_S
         self.expires_at = max(self.expires_at, ends)
-        self.lease_sent_at = now
 
     def acknowledge(self, number: int, *, life: int) -> None:
         """Acknowledge ends up to `number`, which are stored by now.
@@ -286,6 +287,8 @@
             wait_ms=wait_ms,
             timeout_s=wait_ms / 1000 + ANSWER_TIMEOUT_S,
         )
+        if until_ms:
+            self.lease_sent_at = time.monotonic()
         if self.is_stopping:
             return
         if call.fence != self.fence:
@@ -298,11 +301,7 @@
             self.log.info("worker_regained", worker=self.report.id)
         self.last_answer = time.monotonic()
         self._clock = (time.monotonic(), outcome.clock_ms)
-        if (
-            outcome.life != self.life
-            if outcome.life and self.life
-            else outcome.clock_ms < call.clock_ms
-        ):
+        if self._is_of_another_process(outcome, call):
             self._begin_process(outcome.life)
             return
         self.life = outcome.life or self.life
@@ -316,6 +315,13 @@
         if any(end.number > self.last_seen for end in outcome.ended):
             self._wake.wait(timeout=ACKNOWLEDGE_WAIT_S)
 
+    def _is_of_another_process(
+        self, reply: interfaces.LeaseReply, call: SentCall
+    ) -> bool:
+        if reply.life and self.life:
+            return reply.life != self.life
+        return reply.clock_ms < call.clock_ms
+
     def _begin_process(self, life: int) -> None:
         """Begin anew with another process of the worker.
 
--- a/tests/control/test_worker_restarts.py
+++ b/tests/control/test_worker_restarts.py
@@ -150,6 +150,7 @@
         worker.crash()
         worker.restart(worker.report._replace(life=2))
         worker.is_cut = True
+        system.fleet.change("w0", life=2)
         gevent.sleep(3.5)
         worker.run_late()
         assert TASK in worker.running
