--- /dev/null
+++ b/tests/processes/__init__.py
@@ -0,0 +1,1 @@
+"""The platform's programs as real processes under faults."""
