--- /dev/null
+++ b/tests/processes/disturbances.py
@@ -0,0 +1,146 @@
+"""When machines were disturbed, as far as a record tells.
+
+A rule that holds only for machines in touch, or only in calm times, is judged
+only where these say so for certain.
+"""
+
+import bisect
+import collections
+import math
+import re
+from typing import NamedTuple
+
+# Begin of the names of faults that don't count as a disturbance nearby.
+MILD_FAULTS = ("config", "cancel")
+STORE_WORDS = re.compile(r"store|log|platform|core")
+
+
+class Fault(NamedTuple):
+    """Fault that was injected.
+
+    Attributes:
+        target: Text that names all that it was meant for.
+        end: When it ended, infinity if no line tells.
+    """
+
+    name: str
+    target: str
+    begin: float
+    end: float
+
+
+class Disturbances:
+    """Faults, and moments at which something was seen to be disturbed.
+
+    Args:
+        contact_s: How long a machine must be undisturbed to be in touch.
+    """
+
+    def __init__(self, *, contact_s):
+        self.contact_s = contact_s
+        self.faults = []
+        self.entry_zones = {}
+        self._open = collections.defaultdict(list)
+        self._all_moments = []
+        self._entry_moments = collections.defaultdict(list)
+        self._names = set()
+        self._zones = set()
+
+    def add_name(self, name, zone=None):
+        """Note a worker or an entry that a fault may name."""
+        self._names.add(name)
+        if zone:
+            self._zones.add(zone)
+
+    def add_entry(self, name, zone=None):
+        self.add_name(name, zone)
+        if zone:
+            self.entry_zones[name] = zone
+
+    def add_moment(self, at, entry=None):
+        """Note that something, perhaps an entry, was disturbed at a moment."""
+        bisect.insort(self._all_moments, at)
+        if entry is not None:
+            bisect.insort(self._entry_moments[entry], at)
+
+    def add_fault(self, event):
+        target = event.get("target", "")
+        if isinstance(target, list):
+            target = " ".join(str(each) for each in target)
+        key = event["name"], str(target)
+        if event["phase"] == "begin":
+            self._open[key].append(event["at"])
+        else:
+            begins = self._open[key]
+            begin = begins.pop(0) if begins else event["at"]
+            self.faults.append(Fault(*key, begin, event["at"]))
+
+    def finish(self):
+        """Let all faults last on that have no end."""
+        for key, begins in self._open.items():
+            self.faults.extend(Fault(*key, each, math.inf) for each in begins)
+        self._open.clear()
+        self.faults.sort(key=lambda fault: fault.begin)
+
+    def is_calm(self, begin, end):
+        """Return whether nothing was disturbed near a span, wherever it was.
+
+        Entries that start or end, workers that are gone, lapsed leases and
+        orders that were late or had no answer count as disturbances too.
+        """
+        begin -= self.contact_s
+        if _find_within(self._all_moments, begin, end):
+            return False
+        return not any(
+            fault.begin <= end and fault.end >= begin
+            for fault in self.faults
+            if not fault.name.startswith(MILD_FAULTS)
+        )
+
+    def is_in_touch(self, entry, at, *, since=None):
+        """Return whether an entry was certainly in touch.
+
+        Args:
+            entry: Name of the entry; None if it isn't known.
+            at: The moment.
+            since: Since when it has to be in touch all the time.
+        """
+        if entry is None:
+            return False
+        begin = (at if since is None else min(at, since)) - self.contact_s
+        if _find_within(self._entry_moments.get(entry, []), begin, at):
+            return False
+        return not any(
+            fault.begin <= at
+            and fault.end >= begin
+            and self._may_concern(fault.target, entry)
+            for fault in self.faults
+        )
+
+    def _may_concern(self, target, entry):
+        """Return whether a fault may disturb the store or an entry.
+
+        It certainly doesn't if its target names workers, zones or other
+        entries, and neither the store nor the entry nor its zone.
+        """
+        if STORE_WORDS.search(target) or _names(target, entry):
+            return True
+        zones = [zone for zone in self._zones if _names(target, zone)]
+        zone = self.entry_zones.get(entry)
+        if zones and (zone is None or zone in zones):
+            return True
+        return not zones and not any(
+            _names(target, name) for name in self._names
+        )
+
+
+def _names(target, name):
+    """Return whether a text contains a name that is no part of a longer one."""
+    return name in target and bool(
+        re.search(rf"(?<![\w.]){re.escape(name)}(?![\w.])", target)
+    )
+
+
+def _find_within(moments, begin, end):
+    index = bisect.bisect_left(moments, begin)
+    return index < len(moments) and moments[index] <= end
