--- a/tests/processes/disturbances.py
+++ b/tests/processes/disturbances.py
@@ -75,6 +75,10 @@
             begin = begins.pop(0) if begins else event["at"]
             self.faults.append(Fault(*key, begin, event["at"]))
 
+    def add_span(self, name, target, begin, end):
+        """Note a disturbance that isn't an injected fault."""
+        self.faults.append(Fault(name, target, begin, end))
+
     def finish(self):
         """Let all faults last on that have no end."""
         for key, begins in self._open.items():
--- a/tests/processes/history.py
+++ b/tests/processes/history.py
@@ -94,6 +94,10 @@
         entries = {order["entry"] for order in self.list_start_orders()}
         return entries.pop() if len(entries) == 1 else None
 
+    @property
+    def is_noted(self):
+        return self.noted < math.inf
+
     def overlaps(self, other):
         return self.start < other.end and other.start < self.end
 
@@ -166,9 +170,9 @@
         runs: All runs in the order of their starts.
         runs_by_unit: Runs of each task; for a gang, those of all members.
         runs_by_place: Runs on each life of a worker.
+        runs_by_job: Runs of each job.
         workers: `worker_up` lines by worker and life.
         downs: Ends of lives.
-        draining: Lines by worker.
         last: Time of the last event that counts.
     """
 
@@ -182,13 +186,15 @@
         self.runs_by_task = collections.defaultdict(list)
         self.runs_by_unit = collections.defaultdict(list)
         self.runs_by_place = collections.defaultdict(list)
+        self.runs_by_job = collections.defaultdict(list)
         self.jobs = {}
         self.workers = {}
         self.downs = {}
-        self.draining = collections.defaultdict(list)
         self.claims = []
         self.last = 0.0
         self._seen = {}
+        self._lives = {}
+        self._draining = {}
         self._lapses = collections.defaultdict(list)
         self._ends = {}
         self._runs_by_key = {}
@@ -202,10 +208,12 @@
             handler = getattr(self, f"_add_{event['kind']}", None)
             if handler is not None:
                 handler(event)
+        self._finish_draining()
         self.disturbances.finish()
         for run in self.runs:
             self._finish_run(run)
             self.runs_by_task[run.task].append(run)
+            self.runs_by_job[run.job].append(run)
             self.runs_by_unit[self.get_unit(run)].append(run)
 
     def get_step(self, run):
@@ -220,12 +228,30 @@
             return run.task.rsplit(".", 1)[0]
         return run.task
 
-    def is_in_touch(self, run, *, since=None):
-        """Return whether the sender of a start was certainly in touch."""
+    def get_draining(self, place):
+        """Return when a life said that it drains; infinity if never."""
+        return self._draining.get(place, math.inf)
+
+    def is_in_touch(self, run, *, since=None, until=None):
+        """Return whether the sender of a run was certainly in touch.
+
+        Args:
+            run: The run.
+            since: Since when, the start by default.
+            until: Until when, the start by default.
+        """
         return self.disturbances.is_in_touch(
-            run.get_sender(), run.start, since=since
+            run.get_sender(),
+            run.start if until is None else until,
+            since=run.start if since is None else since,
         )
 
+    def _finish_draining(self):
+        """Let workers that drain disturb until they are gone."""
+        for place, begin in self._draining.items():
+            end = self.downs.get(place, math.inf)
+            self.disturbances.add_span("draining", place[0], begin, end)
+
     def _finish_run(self, run):
         lapses = self._lapses[run.place]
         lapsed = next((at for at in lapses if at >= run.start), math.inf)
@@ -251,6 +277,7 @@
             if earlier[0] == place[0] and earlier != place:
                 self.downs.setdefault(earlier, seen)
         self.workers[place] = event
+        self._lives[event["worker"]] = event["life"]
         self.disturbances.add_name(event["worker"], event.get("zone"))
 
     def _add_worker_down(self, event):
@@ -282,7 +309,8 @@
                 run.noted = min(run.noted, event["at"])
 
     def _add_draining(self, event):
-        self.draining[event["worker"]].append(event)
+        life = event.get("life", self._lives.get(event["worker"]))
+        self._draining.setdefault((event["worker"], life), event["at"])
 
     def _add_order(self, event):
         key = event["worker"], event.get("task"), event.get("run")
