--- a/tests/processes/test_asked.py
+++ b/tests/processes/test_asked.py
@@ -27,6 +27,8 @@
             (SECOND, 1),
             (f"{made_up.JOB}.1.0.0", 1),
             ("00000000000000ab.0.0.0", 1),
+            (f"{made_up.JOB}.0.a.0", 1),
+            (f"{made_up.JOB}.0.0.a", 1),
             ("nonsense", 1),
         ],
     )
@@ -193,6 +195,7 @@
         ("statuses", "count"),
         [
             ([503], 1),
+            ([400], 1),
             ([429, 503, 404], 1),
             ([503, 200], 0),
             ([503, 0], 0),
--- a/tests/processes/test_judge.py
+++ b/tests/processes/test_judge.py
@@ -68,14 +68,15 @@
     def test_break(self, tmp_path, capsys):
         story = made_up.Story()
         story.run(2.0, 6.0, "w0")
-        story.run(4.0, 7.0, "w1", run=2)
+        story.start(4.0, "w1", run=2)
+        story.end(7.0, "w1", run=2)
         write(tmp_path, story)
         assert judge.main([str(tmp_path)]) == 1
         printed = capsys.readouterr().out.splitlines()
         assert printed[0].startswith("TWICE at 4.000 seed 7: ")
         assert len(printed) == 4
         assert printed[-1] == (
-            "seed=7 starts=2 late=0 by_sender_in_touch=1 done_and_noted=2"
+            "seed=7 starts=2 late=0 by_sender_in_touch=1 done_and_noted=1"
             " jobs=1 cancelled=0 epochs=1 breaks=1"
         )
 
--- a/tests/processes/test_outcomes.py
+++ b/tests/processes/test_outcomes.py
@@ -172,6 +172,15 @@
         story.answer(at, "get", "failed")
         assert self.judge(story) == [at] * count
 
+    def test_one_task_that_failed_is_enough(self):
+        story = made_up.Story(steps=({"count": 2},))
+        for number in range(1, 4):
+            at = 2.0 * number
+            story.run(at, at + 1, "w0", number, "failed", task=MEMBERS[0])
+        story.run(2.0, 6.0, "w1", task=MEMBERS[1])
+        story.answer(20.0, "get", "failed")
+        assert self.judge(story) == []
+
     def test_failures_of_two_tasks_do_not_add_up(self):
         story = made_up.Story(steps=({"count": 2},))
         for task, times in zip(MEMBERS, (2, 1), strict=True):
@@ -254,6 +263,7 @@
         [
             ({"count": 5, "gpu": 4}, 1),
             ({"count": 1, "gpu": 5}, 0),
+            ({"count": 1, "cpu": 1, "mem_mb": 1, "gpu": 5}, 0),
             ({"count": 2, "gpu": 2, "gang": True}, 1),
             ({"count": 2, "gpu": 3, "gang": True}, 0),
             ({"count": 1, "gpu": 1, "requires": "a"}, 0),
@@ -263,6 +273,27 @@
         story = self.make_story(steps=(step,))
         assert self.judge(story) == [30.0] * count
 
+    @pytest.mark.parametrize(
+        ("begin", "end", "gpu", "count"),
+        [
+            (2.0, 19.9, 4, 1),
+            (2.0, 21.0, 2, 1),
+            (2.0, 21.0, 3, 0),
+            (29.0, 40.0, 3, 0),
+            (30.1, 40.0, 3, 1),
+        ],
+    )
+    def test_what_ran_meanwhile_takes_room(self, begin, end, gpu, count):
+        story = self.make_story(steps=({"count": 1, "gpu": 2},))
+        story.worker_up(0.0, "w2")
+        story.add(15.0, "draining", worker="w2")
+        story.add(16.0, "worker_down", worker="w2", life=1, how="left")
+        job = "00000000000000bb"
+        story.job(job, ({"count": 1, "gpu": gpu},))
+        story.run(begin, end, "w0", task=f"{job}.0.0.0")
+        story.worker_up(0.0, "w1", gpu=2, zone="z1")
+        assert self.judge(story) == [30.0] * count
+
     def test_room_on_draining_workers_does_not_count(self):
         story = self.make_story(steps=({"count": 1, "gpu": 4},))
         story.add(5.0, "draining", worker="w0")
--- a/tests/processes/test_twice.py
+++ b/tests/processes/test_twice.py
@@ -234,6 +234,13 @@
         story.start(at, "w1", run=2)
         assert len(self.judge(story)) == count
 
+    def test_first_answer_counts(self):
+        story = made_up.Story()
+        for at in (6.3, 8.9):
+            story.answer(at, "get", "done")
+        story.start(9.0, "w1", run=2)
+        assert len(self.judge(story)) == 1
+
     @pytest.mark.parametrize(
         ("state", "status"), [("running", 200), ("done", 504)]
     )
@@ -271,6 +278,9 @@
             ((8.0, 8.5, "z1"), 0),  # the entry may be there
             ((8.0, 8.5, "e1"), 1),
             ((8.0, 8.5, "w1"), 1),
+            ((8.0, 8.5, "e0-w1"), 0),
+            ((8.0, 8.5, "xe0 w1"), 1),
+            ((8.0, 8.5, "e01 w1"), 1),
             ((9.1, 9.5, "e0"), 1),
         ],
     )
@@ -319,6 +329,49 @@
         assert len(self.judge(story)) == 1
 
 
+class TestRuns:
+    def find_sender(self, story):
+        (run,) = histories.History(story.events).runs
+        return run.get_sender()
+
+    def test_order_to_an_earlier_life(self):
+        story = made_up.Story()
+        story.order(4.0, "w0", life=1, entry="e1", fence=1)
+        story.order(4.9, "w0", life=2, path="run-stop")
+        story.worker_up(4.5, "w0", life=2)
+        orders = story.events
+        story = made_up.Story()
+        story.start(5.0, "w0", life=2)
+        starts = [each for each in story.events if each["kind"] == "start"]
+        (run,) = histories.History(orders + starts).runs
+        assert run.get_sender() == "e1"
+
+    def test_order_to_this_life_comes_first(self):
+        story = made_up.Story()
+        story.order(4.0, "w0", life=1, entry="e1", fence=1)
+        story.start(5.0, "w0", life=2, entry="e0")
+        assert self.find_sender(story) == "e0"
+
+    def test_refused_order_starts_nothing(self):
+        story = made_up.Story()
+        story.order(4.0, "w0", entry="e1", fence=1, refused="room")
+        story.start(5.0, "w0", entry="e0")
+        assert self.find_sender(story) == "e0"
+
+    def test_first_end_counts(self):
+        story = made_up.Story()
+        story.start(2.0, "w0")
+        story.end(6.0, "w0", how="stopped")
+        story.end(7.0, "w0", how="done")
+        (run,) = histories.History(story.events).runs
+        assert (run.end, run.how) == (6.0, "stopped")
+
+    def test_end_without_a_start(self):
+        story = made_up.Story()
+        story.end(6.0, "w0")
+        assert histories.History(story.events).runs == []
+
+
 class TestPrint:
     def test_a_break_tells_all_that_traces_it(self):
         story = made_up.Story()
