--- a/tests/processes/disturbances.py
+++ b/tests/processes/disturbances.py
@@ -128,6 +128,11 @@
         """
         if STORE_WORDS.search(target) or _names(target, concerned):
             return True
+        if any(
+            _may_be_renamed(word, concerned)
+            for word in re.findall(r"[\w.:-]+", target)
+        ):
+            return True
         zones = [zone for zone in self._zones if _names(target, zone)]
         zone = self._zones_by_name.get(concerned)
         if zones and (zone is None or zone in zones):
@@ -144,6 +149,16 @@
     )
 
 
+def _may_be_renamed(earlier, name):
+    """Return whether a name may belong to what had an earlier one.
+
+    That is the earlier one with more after it, but not more digits: "w1x2"
+    may be "w1" after a start under a new id, "w12" is another.
+    """
+    rest = name.removeprefix(earlier)
+    return rest not in ("", name) and not rest[0].isdigit()
+
+
 def _find_within(moments, begin, end):
     index = bisect.bisect_left(moments, begin)
     return index < len(moments) and moments[index] <= end
--- a/tests/processes/test_history.py
+++ b/tests/processes/test_history.py
@@ -54,6 +54,7 @@
         story = made_up.Story()
         story.run(2.0, 6.0, "w0", how="stopped")
         story.order(5.5, "w0", path="run-stop", entry="e1", fate="late")
+        story.add(5.6, "claim", epoch=2, entry="e1", offset=9, resigned=True)
         story.start(5.0, "w1", run=2, entry="e1")
         history = histories.History(story.events)
         (found,) = twice.find_overlaps(history)
--- a/tests/processes/test_twice.py
+++ b/tests/processes/test_twice.py
@@ -315,6 +315,17 @@
         story.start(9.0, "w0", run=2)
         assert len(self.judge(story)) == 1
 
+    @pytest.mark.parametrize(
+        ("worker", "count"), [("w1x2", 0), ("w1", 0), ("w12", 1), ("x2", 1)]
+    )
+    def test_fault_of_a_worker_that_may_have_a_new_id(self, worker, count):
+        story = made_up.Story()
+        story.worker_up(0.5, worker)
+        story.run(2.0, 6.0, "w0")
+        story.fault(8.0, 8.5, "w1")
+        story.start(9.0, worker, run=2)
+        assert len(self.judge(story)) == count
+
     @pytest.mark.parametrize(("at", "count"), [(6.0, 0), (5.9, 1)])
     def test_sender_started_lately(self, at, count):
         story = made_up.Story()
