--- /dev/null
+++ b/tests/processes/faults.py
@@ -0,0 +1,252 @@
+"""Plans of faults: which faults come, in which series, drawn from a seed.
+
+The plan is seeded; what it hits is drawn from what happens, such as the claim
+that was stored last. So two runs of one seed aren't alike.
+"""
+
+import signal
+
+import gevent
+
+PLANS = ("none", "handover", "restarts", "mixed")
+
+
+class Plan:
+    """Draw and play faults until it is killed.
+
+    Args:
+        injector: Injects single faults.
+        rng: Source of all draws.
+        name: One of `PLANS`.
+    """
+
+    def __init__(self, *, injector, rng, name):
+        self._injector = injector
+        self._place = injector.place
+        self._rng = rng
+        self._series = {
+            "none": [],
+            "handover": [self._cut_and_hand_over],
+            "restarts": [self._restart_series],
+            "mixed": [
+                self._cut_and_hand_over,
+                self._restart_series,
+                self._kill_successor,
+                self._disturb_store,
+                self._disturb_orders,
+                self._crash_zone,
+                self._touch_entries,
+            ],
+        }[name]
+        self._beside = name == "mixed"
+
+    def run(self):
+        """Play series one after the other, in a mixed plan two at a time."""
+        if not self._series:
+            return
+        lanes = [gevent.spawn(self._play)]
+        if self._beside:
+            lanes.append(gevent.spawn(self._play))
+        try:
+            gevent.joinall(lanes)
+        finally:
+            gevent.killall(lanes)
+
+    def _play(self):
+        while True:
+            gevent.sleep(self._rng.uniform(3.0, 6.0))
+            series = self._rng.choice(self._series)
+            series()
+
+    def _together(self, *acts):
+        """Run functions side by side; kill them if this is killed."""
+        greenlets = [gevent.spawn(act) for act in acts]
+        try:
+            gevent.joinall(greenlets)
+        finally:
+            gevent.killall(greenlets)
+
+    def _cut_and_hand_over(self):
+        """Cut off a zone with its owner, and replace owners meanwhile."""
+        owner = self._injector.find_owner()
+        if owner is None:
+            return
+        zone = self._place.get_zone(owner)
+        cut_s = self._rng.uniform(9.0, 13.0)
+        acts = [
+            lambda: self._injector.cut_zone(zone, cut_s),
+            self._replace_owners,
+        ]
+        if self._rng.random() < 0.3:
+            acts.append(self._disturb_store)
+        self._together(*acts)
+
+    def _replace_owners(self):
+        injector = self._injector
+        for _ in range(self._rng.choice((1, 1, 2, 3))):
+            epoch = injector.find_claim()["epoch"]
+            owner = injector.wait_for_claim(epoch, seconds=5.0)
+            if owner is None:
+                return
+            gevent.sleep(self._rng.choice((0.05, 0.2, 0.4, 0.8)))
+            self._end_owner(owner)
+
+    def _end_owner(self, owner):
+        act = self._rng.random()
+        if act < 0.7:
+            self._injector.send(owner, signal.SIGTERM)
+        elif act < 0.85:
+            self._injector.send(owner, signal.SIGKILL)
+        else:
+            seconds = self._rng.uniform(1.0, 5.0)
+            gevent.spawn(self._injector.suspend, owner, seconds)
+
+    def _kill_successor(self):
+        """Kill or suspend the owner, and its successor as it takes over."""
+        injector = self._injector
+        for _ in range(self._rng.choice((1, 2, 2, 3))):
+            owner = injector.find_owner()
+            if owner is None:
+                return
+            epoch = injector.claim["epoch"]
+            self._end_owner(owner)
+            injector.wait_for_claim(epoch, seconds=6.0)
+            gevent.sleep(self._rng.choice((0.0, 0.02, 0.1, 0.3, 1.0)))
+        if self._rng.random() < 0.4:
+            injector.drop_history()
+
+    def _restart_series(self):
+        """Restart a few workers under their ids, with late calls."""
+        count = self._rng.choice((2, 3, 4))
+        workers = self._rng.sample(self._place.list_workers(), count)
+        kinds = (self._keep_renewal, self._keep_starts)
+        self._together(
+            *[
+                lambda act=self._rng.choice(kinds), worker=worker: act(worker)
+                for worker in workers
+            ]
+        )
+
+    def _keep_renewal(self, worker):
+        """A renewal is carried out in the next life, behind a cut."""
+        draw = self._rng.uniform
+        links = self._injector.list_links(self._place.list_entries(), [worker])
+        lead_s, away_s, up_s = draw(0.3, 0.8), draw(0.2, 1.0), draw(1.5, 3.5)
+        cut_after_s = lead_s + away_s + up_s
+        late_s = cut_after_s + draw(2.5, 5.5)
+        keep = gevent.spawn(
+            self._injector.change_links,
+            "late-hold",
+            links,
+            lead_s,
+            late=1.0,
+            late_s=[late_s - 0.5, late_s],
+            most=2,
+            paths=["/hold"],
+        )
+        try:
+            gevent.sleep(lead_s)
+            self._injector.crash_workers([worker], away_s)
+            gevent.sleep(up_s)
+            self._injector.cut_worker(worker, draw(8.0, 12.0))
+        finally:
+            keep.kill()
+
+    def _keep_starts(self, worker):
+        """First tries of starts are carried out in the next life."""
+        draw = self._rng.uniform
+        links = self._injector.list_links(self._place.list_entries(), [worker])
+        lead_s, away_s = draw(1.0, 2.5), draw(1.5, 4.0)
+        keep = gevent.spawn(
+            self._injector.change_links,
+            "late-start",
+            links,
+            lead_s,
+            late=1.0,
+            late_s=[away_s + 0.5, lead_s + away_s + 2.0],
+            first_try=True,
+            paths=["/run-start"],
+        )
+        try:
+            gevent.sleep(lead_s)
+            self._injector.crash_workers([worker], away_s)
+            gevent.sleep(draw(1.0, 4.0))
+        finally:
+            keep.kill()
+
+    def _disturb_store(self):
+        """Disturb the store for some seconds, in one of several ways."""
+        injector, rng = self._injector, self._rng
+        seconds = rng.uniform(1.0, 5.0)
+        entries = self._place.list_entries()
+        some = rng.sample(entries, max(1, len(entries) // 3))
+        append = ["/log-append"]
+        rng.choice(
+            (
+                lambda: injector.stop_store(seconds),
+                lambda: injector.slow_store(seconds, rng.choice((10, 60))),
+                lambda: injector.disturb_store(seconds, lost=0.35),
+                lambda: injector.disturb_store(seconds, late=0.3, paths=append),
+                lambda: injector.disturb_store(
+                    seconds, entries=some, status=503
+                ),
+                lambda: injector.disturb_store(
+                    seconds, entries=some, silent=True
+                ),
+                lambda: injector.disturb_store(
+                    seconds, entries=some, reset=True
+                ),
+                lambda: injector.disturb_store(seconds, delay_s=0.2),
+                injector.drop_history,
+                injector.reset_feeds,
+            )
+        )()
+
+    def _disturb_orders(self):
+        """Disturb the calls to workers for some seconds."""
+        rng = self._rng
+        links = self._injector.list_links(
+            self._place.list_entries(), self._place.list_workers()
+        )
+        links = rng.sample(links, max(1, len(links) // 3))
+        seconds = rng.uniform(2.0, 6.0)
+        layer = rng.choice(
+            (
+                {"late": rng.choice((0.05, 0.2))},
+                {"lost": rng.choice((0.1, 0.4))},
+                {"delay_s": rng.choice((0.05, 0.4))},
+                {"status": 503},
+                {"reset": True},
+            )
+        )
+        self._injector.change_links("orders", links, seconds, **layer)
+
+    def _crash_zone(self):
+        """Workers of a zone crash, and come back under ids old or new."""
+        rng = self._rng
+        owner = self._injector.find_owner() or 0
+        zone = self._place.get_zone(owner + rng.randrange(3))
+        workers = self._place.list_workers(zone)
+        workers = rng.sample(workers, max(1, int(len(workers) * rng.random())))
+        self._injector.crash_workers(
+            workers, rng.uniform(0.2, 6.0), new_ids=rng.random() < 0.3
+        )
+
+    def _touch_entries(self):
+        """Signals, busy neighbours and workers that leave."""
+        rng, injector = self._rng, self._injector
+        entry = rng.choice(self._place.list_entries())
+        workers = rng.sample(self._place.list_workers(), 2)
+        act = rng.randrange(5)
+        if act == 0:
+            injector.send(entry, signal.SIGHUP)
+        elif act == 1:
+            injector.send(entry, signal.SIGKILL, away_s=rng.uniform(0, 4))
+        elif act == 2:
+            injector.suspend(entry, rng.uniform(0.5, 5.0))
+        elif act == 3:
+            injector.use_processors(3, rng.uniform(1.0, 3.0))
+        else:
+            injector.drain(workers, rng.uniform(2.0, 6.0))
+            gevent.sleep(8.0)
+            injector.crash_workers(workers, 0.5, new_ids=True)
