--- a/tests/processes/__main__.py
+++ b/tests/processes/__main__.py
@@ -33,7 +33,7 @@
 SETTLE_S = 25.0
 
 
-class Failure(Exception):
+class FailedRunError(Exception):
     """The run could not be done."""
 
 
@@ -75,7 +75,7 @@
                 program.kill()
 
     def _check_addresses(self):
-        """Raise `Failure` if another run uses the addresses."""
+        """Raise `FailedRunError` if another run uses the addresses."""
         place = self._place
         for host, port in (
             (place.get_control_host("store"), layout.CONTROL_PORT),
@@ -87,7 +87,7 @@
                 try:
                     probe.bind((host, port))
                 except OSError as error:
-                    raise Failure(
+                    raise FailedRunError(
                         f"{host}:{port} can't be used ({error.strerror});"
                         " choose another --block"
                     ) from error
@@ -135,7 +135,7 @@
         gevent.kill(playing)
         self._watch(SETTLE_S + 30.0, callers)
         if callers.poll() is None:
-            raise Failure("the callers don't end")
+            raise FailedRunError("the callers don't end")
 
     def _watch(self, seconds, callers):
         """Wait for a time or the end of the callers."""
@@ -143,7 +143,7 @@
             while callers.poll() is None:
                 for program in self._programs:
                     if program.poll() not in (None, 0):
-                        raise Failure(
+                        raise FailedRunError(
                             f"{program.name} ended with {program.poll()},"
                             f" see {program.log}"
                         )
@@ -200,7 +200,7 @@
 
         def is_there():
             if self._programs[-1].poll() is not None:
-                raise Failure(
+                raise FailedRunError(
                     f"{program} doesn't start, see {self._programs[-1].log}"
                 )
             try:
@@ -209,7 +209,7 @@
                 return None
 
         if not entries.wait_for(is_there, seconds=START_S, pause=gevent.sleep):
-            raise Failure(f"{program} doesn't answer")
+            raise FailedRunError(f"{program} doesn't answer")
 
     def _wait_for_entries(self):
         peers = [
@@ -222,7 +222,7 @@
         def are_ready():
             for entry in self._entries.collect():
                 name = self._place.get_entry_name(entry)
-                raise Failure(f"{name} doesn't start, see {name}.log")
+                raise FailedRunError(f"{name} doesn't start, see {name}.log")
             replies = [peer.call("GET", "/ready") for peer in peers]
             return all(
                 not errors.is_refusal(reply) and reply.status == 200
@@ -230,7 +230,7 @@
             )
 
         if not entries.wait_for(are_ready, seconds=START_S, pause=gevent.sleep):
-            raise Failure("the entries don't become ready")
+            raise FailedRunError("the entries don't become ready")
 
 
 def _judge(folder):
@@ -312,7 +312,7 @@
         return 130
     try:
         running.get()
-    except Failure as failure:
+    except FailedRunError as failure:
         print(failure, file=sys.stderr)
         return 2
     broken = _judge(folder)
--- a/tests/processes/faults.py
+++ b/tests/processes/faults.py
@@ -4,6 +4,7 @@
 that was stored last. So two runs of one seed aren't alike.
 """
 
+import functools
 import signal
 
 import gevent
@@ -120,12 +121,8 @@
         count = self._rng.choice((2, 3, 4))
         workers = self._rng.sample(self._place.list_workers(), count)
         kinds = (self._keep_renewal, self._keep_starts)
-        self._together(
-            *[
-                lambda act=self._rng.choice(kinds), worker=worker: act(worker)
-                for worker in workers
-            ]
-        )
+        drawn = [(self._rng.choice(kinds), worker) for worker in workers]
+        self._together(*[functools.partial(*pair) for pair in drawn])
 
     def _keep_renewal(self, worker):
         """A renewal is carried out in the next life, behind a cut."""
--- a/tests/processes/fleet.py
+++ b/tests/processes/fleet.py
@@ -299,9 +299,9 @@
             self._plan(at + GANG_S, lambda at: self._end_wait(run, at))
 
     def _end_wait(self, run, at):
-        if not run.has_ended and run.works_from is None:
-            if not run.is_stopping:
-                self._end(run, at, "alone")
+        is_waiting = run.works_from is None and not run.is_stopping
+        if is_waiting and not run.has_ended:
+            self._end(run, at, "alone")
 
     def _break_gang(self, run, at):
         key = (run.task.rpartition(".")[0], run.number)
--- a/tests/processes/store.py
+++ b/tests/processes/store.py
@@ -126,7 +126,7 @@
         before = topic.end
         try:
             answer = topic.append(items, **options)
-        except topics.Conflict as conflict:
+        except topics.ConflictError as conflict:
             return conflict.status, conflict.answer
         if topic.end > before:
             self._announce()
--- a/tests/processes/topics.py
+++ b/tests/processes/topics.py
@@ -7,7 +7,7 @@
 PAGE_KEYS = 500
 
 
-class Conflict(Exception):
+class ConflictError(Exception):
     """An append that is refused with status 409 or 412."""
 
     def __init__(self, status, **answer):
@@ -44,18 +44,18 @@
         return self.first + len(self._records)
 
     def append(self, items, *, at=None, producer=None, epoch=0, sequence=0):
-        """Append all items or raise `Conflict`; return the answer."""
+        """Append all items or raise `ConflictError`; return the answer."""
         known = self._producers.get(producer)
         if producer is not None and known is not None:
             if epoch < known.epoch:
-                raise Conflict(409, reason="fenced")
+                raise ConflictError(409, reason="fenced")
             if epoch == known.epoch:
                 if sequence in known.answers:
                     return known.answers[sequence]
                 if items and sequence != known.next:
-                    raise Conflict(409, reason="seq", seq=known.next)
+                    raise ConflictError(409, reason="seq", seq=known.next)
         if at is not None and at != self.end:
-            raise Conflict(412, end_offset=self.end)
+            raise ConflictError(412, end_offset=self.end)
         if producer is not None and (known is None or epoch > known.epoch):
             known = self._producers[producer] = _Producer(epoch, sequence)
         answer = {"offset": self.end, "end_offset": self.end + len(items)}
