Kept calls of one life of a worker until the next one.

Late calls are now waited for, and the crash follows them. A fault with late calls lasts until the last of them.

--- a/tests/processes/__main__.py
+++ b/tests/processes/__main__.py
@@ -244,7 +244,6 @@
             sys.executable,
             "-m",
             "tests.processes.judge",
-            "--run-folder",
             str(folder),
         ],
         log=folder / "judge.log",
--- a/tests/processes/faults.py
+++ b/tests/processes/faults.py
@@ -118,7 +118,7 @@
 
     def _restart_series(self):
         """Restart a few workers under their ids, with late calls."""
-        count = self._rng.choice((2, 3, 4))
+        count = self._rng.choice((3, 4, 6))
         workers = self._rng.sample(self._place.list_workers(), count)
         kinds = (self._keep_renewal, self._keep_starts)
         drawn = [(self._rng.choice(kinds), worker) for worker in workers]
@@ -126,50 +126,35 @@
 
     def _keep_renewal(self, worker):
         """A renewal is carried out in the next life, behind a cut."""
-        draw = self._rng.uniform
-        links = self._injector.list_links(self._place.list_entries(), [worker])
-        lead_s, away_s, up_s = draw(0.3, 0.8), draw(0.2, 1.0), draw(1.5, 3.5)
-        cut_after_s = lead_s + away_s + up_s
-        late_s = cut_after_s + draw(2.5, 5.5)
-        keep = gevent.spawn(
-            self._injector.change_links,
-            "late-hold",
-            links,
-            lead_s,
-            late=1.0,
-            late_s=[late_s - 0.5, late_s],
-            most=2,
-            paths=["/hold"],
-        )
-        try:
-            gevent.sleep(lead_s)
-            self._injector.crash_workers([worker], away_s)
-            gevent.sleep(up_s)
-            self._injector.cut_worker(worker, draw(8.0, 12.0))
-        finally:
-            keep.kill()
+        injector, draw = self._injector, self._rng.uniform
+        keys = injector.list_links(self._place.list_entries(), [worker])
+        lead_s, away_s, up_s = draw(0.2, 0.6), draw(0.2, 1.0), draw(1.5, 3.5)
+        late_s = lead_s + away_s + up_s + draw(2.5, 5.5)
+        layer = {"late": 1.0, "late_s": [late_s, late_s + 0.5], "most": 1}
+        with injector.change_links(
+            "late-hold", keys, paths=["/hold"], **layer
+        ) as fault:
+            if not injector.wait_for_late(keys, fault, seconds=4.0):
+                return
+        gevent.sleep(lead_s)
+        injector.crash_workers([worker], away_s)
+        gevent.sleep(up_s)
+        injector.cut_worker(worker, draw(8.0, 12.0))
 
     def _keep_starts(self, worker):
-        """First tries of starts are carried out in the next life."""
-        draw = self._rng.uniform
-        links = self._injector.list_links(self._place.list_entries(), [worker])
-        lead_s, away_s = draw(1.0, 2.5), draw(1.5, 4.0)
-        keep = gevent.spawn(
-            self._injector.change_links,
-            "late-start",
-            links,
-            lead_s,
-            late=1.0,
-            late_s=[away_s + 0.5, lead_s + away_s + 2.0],
-            first_try=True,
-            paths=["/run-start"],
-        )
-        try:
+        """The first try of a start is carried out in the next life."""
+        injector, draw = self._injector, self._rng.uniform
+        keys = injector.list_links(self._place.list_entries(), [worker])
+        lead_s, away_s = draw(0.7, 1.5), draw(1.5, 4.0)
+        late_s = lead_s + away_s + draw(0.1, 3.0)
+        layer = {"late": 1.0, "late_s": [late_s, late_s + 0.5]}
+        with injector.change_links(
+            "late-start", keys, paths=["/run-start"], first_try=True, **layer
+        ) as fault:
+            if not injector.wait_for_late(keys, fault, seconds=8.0):
+                return
             gevent.sleep(lead_s)
-            self._injector.crash_workers([worker], away_s)
-            gevent.sleep(draw(1.0, 4.0))
-        finally:
-            keep.kill()
+        injector.crash_workers([worker], away_s)
 
     def _disturb_store(self):
         """Disturb the store for some seconds, in one of several ways."""
@@ -216,7 +201,8 @@
                 {"reset": True},
             )
         )
-        self._injector.change_links("orders", links, seconds, **layer)
+        with self._injector.change_links("orders", links, **layer):
+            gevent.sleep(seconds)
 
     def _crash_zone(self):
         """Workers of a zone crash, and come back under ids old or new."""
--- a/tests/processes/injector.py
+++ b/tests/processes/injector.py
@@ -5,10 +5,12 @@
 import signal
 import subprocess
 import sys
+import time
 
 import gevent
 
 from tests.processes import layout
+from tests.processes import links
 from tests.processes import record
 from tests.processes import serving
 
@@ -70,14 +72,20 @@
     # Faults with a duration
 
     @contextlib.contextmanager
-    def _during(self, name, target, **fields):
+    def _during(self, name, target, *, layer=None, **fields):
+        """Record a fault; it lasts until its last late call was executed."""
         fault = f"{name}-{next(self._numbers)}"
         named = {"name": fault, "target": target, **fields}
+        if layer:
+            named["layer"] = layer
         self._record.write("fault", **named, phase="begin")
         try:
             yield fault
         finally:
-            self._record.write("fault", **named, phase="end")
+            at = time.monotonic()
+            if layer and layer.get("late"):
+                at += layer.get("late_s", links.Layer().late_s)[1]
+            self._record.write("fault", **named, phase="end", at=at)
 
     @contextlib.contextmanager
     def _applied(self, remote, keys, fault, layer):
@@ -95,15 +103,24 @@
         finally:
             self.workers.call("cut", numbers=[], fault=fault, is_cut=False)
 
-    def change_links(self, name, keys, seconds, *, remote=None, **layer):
-        """Add a layer to links for a time; to those of workers by default."""
+    @contextlib.contextmanager
+    def change_links(self, name, keys, *, remote=None, **layer):
+        """Add a layer to links, to those of workers by default."""
         remote = remote or self.workers
         target = "store" if remote is self.store else _name_workers(keys)
         with (
             self._during(name, target, layer=layer) as fault,
             self._applied(remote, keys, fault, layer),
         ):
-            gevent.sleep(seconds)
+            yield fault
+
+    def wait_for_late(self, keys, fault, *, seconds):
+        """Return whether a fault made a call late within a time."""
+        with gevent.Timeout(seconds, False):
+            while not self.workers.call("late", keys=keys, fault=fault):
+                gevent.sleep(0.02)
+            return True
+        return False
 
     def cut_zone(self, zone, seconds):
         """Cut a zone off from the other zones and the store."""
@@ -135,9 +152,8 @@
         """Add a layer to the links between entries and store."""
         numbers = self.place.list_entries() if entries is None else entries
         keys = [str(entry) for entry in numbers]
-        self.change_links(
-            "store-link", keys, seconds, remote=self.store, **layer
-        )
+        with self.change_links("store-link", keys, remote=self.store, **layer):
+            gevent.sleep(seconds)
 
     def stop_store(self, seconds):
         """Let the store answer nobody, neither entries nor workers."""
--- a/tests/processes/links.py
+++ b/tests/processes/links.py
@@ -74,6 +74,10 @@
             else:
                 layers[fault] = layer
 
+    def count_late(self, keys, fault):
+        """Return how many calls a fault has made late on the links."""
+        return sum(len(self._tries.get((key, fault), [])) for key in keys)
+
     def is_silent(self, key):
         """Return whether no answer can pass now."""
         return any(layer.silent for layer in self._find(key, ""))
--- a/tests/processes/workers.py
+++ b/tests/processes/workers.py
@@ -71,6 +71,7 @@
             port=layout.CONTROL_PORT,
             commands={
                 "set": self._set_layer,
+                "late": self._links.count_late,
                 "reset": self._reset,
                 "cut": self._cut_from_store,
                 "crash": self._crash,
