--- a/tests/processes/faults.py
+++ b/tests/processes/faults.py
@@ -28,10 +28,11 @@
         self._series = {
             "none": [],
             "handover": [self._cut_and_hand_over],
-            "restarts": [self._restart_series],
+            "restarts": [self._restart_series, self._lose_power],
             "mixed": [
                 self._cut_and_hand_over,
                 self._restart_series,
+                self._lose_power,
                 self._kill_successor,
                 self._disturb_store,
                 self._disturb_orders,
@@ -156,6 +157,23 @@
             gevent.sleep(lead_s)
         injector.crash_workers([worker], away_s)
 
+    def _lose_power(self):
+        """Workers of a zone restart with late calls; then it is cut off."""
+        injector, draw = self._injector, self._rng.uniform
+        zone = self._place.get_zone(self._rng.randrange(self._place.zones))
+        workers = self._place.list_workers(zone)
+        keys = injector.list_links(self._place.list_entries(), workers)
+        lead_s, away_s, up_s = draw(0.8, 2.0), draw(0.2, 4.0), draw(1.0, 3.0)
+        late_s = lead_s + away_s
+        layer = {"late": 0.3, "late_s": [late_s, late_s + up_s + 5.0]}
+        with injector.change_links(
+            "late-zone", keys, paths=["/hold", "/run-start"], **layer
+        ):
+            gevent.sleep(lead_s)
+        injector.crash_workers(workers, away_s)
+        gevent.sleep(up_s)
+        injector.cut_zone(zone, draw(8.0, 12.0))
+
     def _disturb_store(self):
         """Disturb the store for some seconds, in one of several ways."""
         injector, rng = self._injector, self._rng
@@ -170,7 +188,7 @@
                 lambda: injector.disturb_store(seconds, lost=0.35),
                 lambda: injector.disturb_store(seconds, late=0.3, paths=append),
                 lambda: injector.disturb_store(
-                    seconds, entries=some, status=503
+                    seconds, entries=some, status=rng.choice((429, 503))
                 ),
                 lambda: injector.disturb_store(
                     seconds, entries=some, silent=True
--- a/tests/processes/serving.py
+++ b/tests/processes/serving.py
@@ -109,6 +109,8 @@
             return self._hang(reader)
         if fate.delay_s:
             gevent.sleep(fate.delay_s)
+            if not self._servers:  # what was called is gone
+                return False
         if fate.name == "status":
             status, content = fate.status, {}
         else:
