--- a/tests/processes/__main__.py
+++ b/tests/processes/__main__.py
@@ -7,7 +7,6 @@
 """
 
 import argparse
-import importlib.util
 import pathlib
 import random
 import signal
@@ -24,13 +23,14 @@
 from tests.processes import faults
 from tests.processes import injector
 from tests.processes import layout
-from tests.processes import overlaps
 from tests.processes import record
+from tests.processes import report
 from tests.processes import serving
 
 START_S = 30.0
 LEAD_S = 3.0
 SETTLE_S = 25.0
+JUDGE = "tests.processes.judge"
 
 
 class FailedRunError(Exception):
@@ -234,18 +234,12 @@
 
 
 def _judge(folder):
-    """Return the number of rules broken."""
-    broken = overlaps.check(folder)
-    if importlib.util.find_spec("tests.processes.judge") is None:
-        return broken
+    """Judge the run and print what was found; return whether it is broken."""
+    events = record.read_folder(folder)
+    print(report.summarize(events))
     program = entries.Process(
         name="judge",
-        words=[
-            sys.executable,
-            "-m",
-            "tests.processes.judge",
-            str(folder),
-        ],
+        words=[sys.executable, "-m", JUDGE, str(folder)],
         log=folder / "judge.log",
     )
     try:
@@ -253,8 +247,13 @@
             gevent.sleep(0.1)
     finally:
         program.kill()
-    print((folder / "judge.log").read_text(), end="")
-    return broken or program.poll()
+    text = program.log.read_text()
+    print(text, end="")
+    if program.poll() not in (0, 1) or "breaks=" not in text:
+        raise FailedRunError(f"the judge failed, see {program.log}")
+    for task in report.find_tasks(text):
+        print("\n".join(report.describe_task(task, events, folder)))
+    return program.poll() == 1
 
 
 def _parse(arguments):
@@ -311,10 +310,10 @@
         return 130
     try:
         running.get()
+        broken = _judge(folder)
     except FailedRunError as failure:
         print(failure, file=sys.stderr)
         return 2
-    broken = _judge(folder)
     verdict = "broken" if broken else "clean"
     print(
         f"seed={options.seed} plan={options.plan} seconds={options.seconds:g}"
--- a/tests/processes/faults.py
+++ b/tests/processes/faults.py
@@ -75,8 +75,9 @@
             return
         zone = self._place.get_zone(owner)
         cut_s = self._rng.uniform(9.0, 13.0)
+        one_way = self._rng.random() < 0.2
         acts = [
-            lambda: self._injector.cut_zone(zone, cut_s),
+            lambda: self._injector.cut_zone(zone, cut_s, one_way=one_way),
             self._replace_owners,
         ]
         if self._rng.random() < 0.3:
--- a/tests/processes/injector.py
+++ b/tests/processes/injector.py
@@ -122,16 +122,20 @@
             return True
         return False
 
-    def cut_zone(self, zone, seconds):
-        """Cut a zone off from the other zones and the store."""
-        place, layer = self.place, {"silent": True}
+    def cut_zone(self, zone, seconds, *, one_way=False):
+        """Cut a zone off from the other zones and the store.
+
+        If it is cut one way, calls are executed, and answers don't pass.
+        """
+        place = self.place
+        layer = {"lost": 1.0} if one_way else {"silent": True}
         inside, near = place.list_entries(zone), place.list_workers(zone)
         outside = [each for each in place.list_entries() if each not in inside]
         far = [each for each in place.list_workers() if each not in near]
         keys = self.list_links(inside, far) + self.list_links(outside, near)
         store_keys = [str(entry) for entry in inside]
         with (
-            self._during("zone-cut", zone) as fault,
+            self._during("zone-cut", zone, layer=layer) as fault,
             self._applied(self.workers, keys, fault, layer),
             self._without_heartbeats(near, fault),
             self._applied(self.store, store_keys, fault, layer),
