--- a/tests/processes/test_driver.py
+++ b/tests/processes/test_driver.py
@@ -66,6 +66,16 @@
         assert f"{address[0]}:{address[1]} can't be used" in text
 
 
+class TestRun:
+    def test_run_without_faults_is_clean(self, tmp_path):
+        driver = start(tmp_path, "--plan", "none", "--seconds", "5")
+        text, errors = driver.communicate(timeout=90)
+        assert driver.returncode == 0, text + errors
+        kinds = {line["kind"] for line in record.read_folder(tmp_path)}
+        assert kinds >= {"plan", "claim", "start", "end", "answer", "shutdown"}
+        assert "breaks=0" in text
+
+
 class TestInterruption:
     @pytest.mark.parametrize(
         "number", [signal.SIGINT, signal.SIGTERM, signal.SIGKILL]
