Counted a lease from when it was sent also while its call is under way.

Cause: found on reading the change. The time from which late calls count was taken after a call returned. A session that is replaced meanwhile handed the time of the call before it to its successor, up to 1.7 s too early.

--- a/chervilcove/control/sessions.py
+++ b/chervilcove/control/sessions.py
@@ -220,6 +220,7 @@
         length_s = min(length_s, LEASE_MS / 1000)
         ends = time.monotonic() + length_s * CLOCK_SLACK + EXPIRY_MARGIN_S
         self.expires_at = max(self.expires_at, ends)
+        self.lease_sent_at = time.monotonic()
 
     def acknowledge(self, number: int, *, life: int) -> None:
         """Acknowledge ends up to `number`, which are stored by now.
