--- a/tests/processes/test_driver.py
+++ b/tests/processes/test_driver.py
@@ -1,5 +1,6 @@
 """The command of the soak: errors, and that it leaves no process behind."""
 
+import os
 import signal
 import socket
 import subprocess
@@ -13,7 +14,7 @@
 from tests.processes import layout
 from tests.processes import record
 
-BLOCK = 97
+BLOCK = 1 + os.getpid() % 95  # test runs side by side need others
 OPTIONS = ("--entries", "2", "--workers", "4", "--zones", "2")
 
 
