Shared the set-up of tests of restarted workers.

Cause: one test module imported another one for its fixtures.

Change: tests/control/restarts.py has them.

--- a/tests/control/test_late_calls.py
+++ b/tests/control/test_late_calls.py
@@ -8,8 +8,8 @@
 from chervilcove.control import fences
 from chervilcove.control import sessions
 from chervilcove.core import errors
+from tests.control import restarts
 from tests.control import system as systems
-from tests.control import test_worker_restarts as restarts
 
 JOB = restarts.JOB
 TASK = restarts.TASK
@@ -19,12 +19,6 @@
 KNOWN_RED = pytest.mark.xfail(strict=True, reason="see KNOWN-RED.txt")
 
 
-def start_next_process(worker):
-    """Restart a worker without a report of the new process."""
-    worker.crash()
-    worker.restart(worker.report._replace(life=worker.report.life + 1))
-
-
 class TestRestartsNoticedByReport:
     def test_lease_of_a_start_answered_after_the_report_is_counted(
         self, system, entry
@@ -36,7 +30,7 @@
         until_ms = worker.lease_until_ms
         systems.wait_until(lambda: worker.lease_until_ms > until_ms)
         gevent.sleep(0.8)
-        start_next_process(worker)
+        restarts.start_next_process(worker)
         worker.swallow_renewals = 1_000
         session = entry._owner.fleet.sessions["w0"]
         start = worker.start
@@ -77,7 +71,7 @@
         second = system.add_entry("b")
         systems.wait_until(lambda: second._follower.is_current)
         entry.kill()
-        start_next_process(worker)
+        restarts.start_next_process(worker)
         worker.is_cut = True
         if is_reported:
             system.fleet.change("w0", life=2)
@@ -103,7 +97,7 @@
         system.submit(entry, JOB, systems.build_spec())
         systems.wait_until(lambda: worker.late)
         restarts.evacuate(system)
-        start_next_process(worker)
+        restarts.start_next_process(worker)
         worker.is_cut = True
         gevent.sleep(3.5)
         worker.run_late()
@@ -124,7 +118,7 @@
         worker.end(TASK, how)
         systems.wait_until(lambda: session.last_seen == 1)
         gevent.sleep(0.3)
-        start_next_process(worker)
+        restarts.start_next_process(worker)
         worker.is_cut = True
         worker.run_late()
         gevent.sleep(0.1)
@@ -144,7 +138,7 @@
         restarts.evacuate(system, "dc0")
         restarts.restart(system, worker)
         systems.wait_until(lambda: TASK in other.running)
-        start_next_process(worker)
+        restarts.start_next_process(worker)
         worker.is_cut = True
         worker.run_late()
         gevent.sleep(0.1)
@@ -164,7 +158,7 @@
         worker.end(first, "done")
         session = entry._owner.fleet.sessions["w0"]
         systems.wait_until(lambda: session.last_seen == 1)
-        start_next_process(worker)
+        restarts.start_next_process(worker)
         renew, start = worker.renew_lease, worker.start
         unanswered = errors.refuse(errors.Kind.OUTCOME_UNKNOWN, "lost answer")
 
--- a/tests/control/test_worker_restarts.py
+++ b/tests/control/test_worker_restarts.py
@@ -4,84 +4,33 @@
 fence.
 """
 
-import time
-
 import gevent
-import pytest
 
 from chervilcove.control import commands
 from chervilcove.control import sessions
 from chervilcove.core import errors
 from chervilcove.jobs import table
+from tests.control import restarts
 from tests.control import system as systems
 
-JOB = "00000000000000aa"
-TASK = f"{JOB}.0.0.0"
-LEASE_S = 2.0
-OLD_CLOCK_S = 1_000.0
-
-
-@pytest.fixture
-def system(monkeypatch):
-    """Return two workers, "w0" in "dc0" and "w1" in "dc1", with leases."""
-    monkeypatch.setattr(sessions, "LEASE_MS", int(LEASE_S * 1000))
-    monkeypatch.setattr(commands, "START_VALID_MS", 1_200)
-    made = systems.System(workers=2)
-    for worker in made.fleet.workers.values():
-        worker.lease_limit_ms = int(LEASE_S * 1000)
-        worker.clock_start = time.monotonic() - OLD_CLOCK_S
-    yield made
-    made.kill_all()
-
-
-@pytest.fixture
-def entry(system):
-    made = system.add_entry("a")
-    systems.wait_until(lambda: made._owner)
-    systems.wait_until(
-        lambda: all(
-            system.fleet.workers[name].lease_until_ms for name in ("w0", "w1")
-        )
-    )
-    return made
-
-
-def evacuate(system, *data_centres):
-    feed = system.operator_feed
-    feed.operations = feed.operations._replace(
-        evacuated=frozenset(data_centres)
-    )
-
-
-def restart(system, worker):
-    worker.crash()
-    system.fleet.restart(worker.report.id)
-
-
-def wait_until_open(entry, worker):
-    """Wait until a worker may get tasks."""
-    fleet = entry._owner.fleet
-    systems.wait_until(lambda: fleet.sessions[worker].is_reachable)
-    systems.wait_until(lambda: fleet.resources.by_worker[worker].is_schedulable)
-
-
-def keep_renewal(worker):
-    """Keep the next renewal of the worker's lease unanswered."""
-    worker.swallow_renewals = 1
-    systems.wait_until(lambda: worker.late)
+JOB = restarts.JOB
+TASK = restarts.TASK
+LEASE_S = restarts.LEASE_S
+system = restarts.system
+entry = restarts.entry
 
 
 class TestLateRenewals:
     def test_late_renewal_gives_the_next_process_no_lease(self, system, entry):
         # The owner counted a run as lost that still had a lease: two at once.
         worker = system.fleet.workers["w0"]
-        evacuate(system, "dc1")
-        keep_renewal(worker)
-        restart(system, worker)
-        wait_until_open(entry, "w0")
+        restarts.evacuate(system, "dc1")
+        restarts.keep_renewal(worker)
+        restarts.restart(system, worker)
+        restarts.wait_until_open(entry, "w0")
         system.submit(entry, JOB, systems.build_spec())
         systems.wait_until(lambda: TASK in worker.running)
-        evacuate(system)
+        restarts.evacuate(system)
         gevent.sleep(0.3)
         worker.is_cut = True
         gevent.sleep(0.75 * LEASE_S)
@@ -96,16 +45,16 @@
         # Ends are numbered anew. Those that nobody had read were forgotten,
         # and the tasks started again.
         worker = system.fleet.workers["w0"]
-        evacuate(system, "dc1")
+        restarts.evacuate(system, "dc1")
         system.submit(entry, "00000000000000bb", systems.build_spec())
         first = "00000000000000bb.0.0.0"
         systems.wait_until(lambda: first in worker.running)
         worker.end(first, "done")
         session = entry._owner.fleet.sessions["w0"]
         systems.wait_until(lambda: session.last_seen == 1)
-        keep_renewal(worker)
-        restart(system, worker)
-        wait_until_open(entry, "w0")
+        restarts.keep_renewal(worker)
+        restarts.restart(system, worker)
+        restarts.wait_until_open(entry, "w0")
         system.submit(entry, JOB, systems.build_spec())
         systems.wait_until(lambda: TASK in worker.running)
         gevent.sleep(0.3)
@@ -122,12 +71,12 @@
     def test_late_start_does_not_run_in_the_next_process(self, system, entry):
         # Its deadline is a time of the earlier clock, so it hadn't expired.
         worker, other = (system.fleet.workers[name] for name in ("w0", "w1"))
-        evacuate(system, "dc1")
+        restarts.evacuate(system, "dc1")
         worker.swallow_starts = 1
         system.submit(entry, JOB, systems.build_spec())
         systems.wait_until(lambda: TASK in worker.running)
         gevent.sleep(0.3)
-        evacuate(system, "dc0")
+        restarts.evacuate(system, "dc0")
         worker.crash()
         gevent.sleep(0.5)
         system.fleet.restart("w0")
@@ -142,11 +91,11 @@
         # The owner can't reach the next process, which has seen no fence.
         monkeypatch.setattr(sessions, "MAX_CALL_DELAY_S", 4.0)
         worker = system.fleet.workers["w0"]
-        evacuate(system, "dc1")
+        restarts.evacuate(system, "dc1")
         worker.swallow_starts = 1
         system.submit(entry, JOB, systems.build_spec())
         systems.wait_until(lambda: worker.late)
-        evacuate(system)
+        restarts.evacuate(system)
         worker.crash()
         worker.restart(worker.report._replace(life=2))
         worker.is_cut = True
@@ -163,7 +112,7 @@
         # The owner had not noticed the restart: the deadline of the earlier
         # clock gives the longest lease there, not that of a start.
         worker = system.fleet.workers["w0"]
-        evacuate(system, "dc1")
+        restarts.evacuate(system, "dc1")
         until_ms = worker.lease_until_ms
         systems.wait_until(lambda: worker.lease_until_ms > until_ms)
         gevent.sleep(0.8)
@@ -173,7 +122,7 @@
         system.submit(entry, JOB, systems.build_spec())
         systems.wait_until(lambda: TASK in worker.running)
         worker.is_cut = True
-        evacuate(system)
+        restarts.evacuate(system)
         systems.wait_until(lambda: len(system.list_starts()) == 2)
         gevent.sleep(LEASE_S)
         assert system.list_overlaps() == []
@@ -181,7 +130,7 @@
     def test_owner_stays_when_its_late_start_is_fenced(self, system, entry):
         # The refusal of a call for an earlier process names no newer owner.
         worker = system.fleet.workers["w0"]
-        evacuate(system, "dc1")
+        restarts.evacuate(system, "dc1")
         owner = entry._owner
         session = owner.fleet.sessions["w0"]
         refused = errors.refuse(errors.Kind.FENCED, "epoch is stale")
@@ -191,7 +140,7 @@
             del details, timeout_s
             starts.append(command)
             if len(starts) == 1:
-                restart(system, worker)
+                restarts.restart(system, worker)
                 systems.wait_until(
                     lambda: worker.fence > command.fence and session.life != 1
                 )
@@ -211,8 +160,8 @@
         # Of all calls that name an earlier process, none may have an effect.
         worker = system.fleet.workers["w0"]
         fence = worker.fence
-        restart(system, worker)
-        wait_until_open(entry, "w0")
+        restarts.restart(system, worker)
+        restarts.wait_until_open(entry, "w0")
         command = commands.interfaces.RunCommand(TASK, 1, fence)
         for outcome in (
             worker.stop(command, timeout_s=1.0),
@@ -225,14 +174,14 @@
         # Each restart of a worker raises the fence of its owner there.
         worker = system.fleet.workers["w0"]
         for _ in range(3):
-            restart(system, worker)
-            wait_until_open(entry, "w0")
+            restarts.restart(system, worker)
+            restarts.wait_until_open(entry, "w0")
         fence = worker.fence
         second = system.add_entry("b")
         systems.wait_until(lambda: second._follower.is_current)
         entry._election.resign()
         systems.wait_until(lambda: second._owner)
-        wait_until_open(second, "w0")
+        restarts.wait_until_open(second, "w0")
         assert worker.fence > fence
         assert second._owner is not None
 
@@ -248,5 +197,5 @@
         worker.restart(worker.report._replace(life=2))
         systems.wait_until(lambda: session.life == 2)
         systems.wait_until(lambda: 0 < session.estimate_clock_ms() < 60_000)
-        session.record_answer(call, int(OLD_CLOCK_S * 1000) + 500)
+        session.record_answer(call, int(restarts.OLD_CLOCK_S * 1000) + 500)
         assert session.estimate_clock_ms() < 60_000
