Named the first epoch in odd records, and generated the page of metrics.

The page of metrics was changed without the catalogue that it is generated from. An odd claim of a test has the epoch of the owner before it, which was written as 1; a claim with a lower epoch than the ledger has seen can't be stored, so that the test asked for what can't happen, and no entry could claim after it.

Change: the catalogue has the text; the odd claim names FIRST_EPOCH.

--- a/chervilcove/core/catalogue.py
+++ b/chervilcove/core/catalogue.py
@@ -95,7 +95,8 @@
     Metric(
         "rounds.failed_steps",
         "counter",
-        "Steps of a round that raised an exception; the others went on.",
+        "Steps of a round, or effects of stored records, that raised an "
+        "exception; the others went on.",
         "Above 0: search the log of the owner for `round_step_failed`.",
     ),
     Metric(
--- a/tests/platform/test_odd_records.py
+++ b/tests/platform/test_odd_records.py
@@ -94,7 +94,7 @@
         unit = records.UnitRecord(
             1, 1, 1, (), "", (records.Place("i-0", 1),), ()
         )
-        claim = records.Claim(1, "a@127.0.0.1:\u00b2", "b")
+        claim = records.Claim(systems.FIRST_EPOCH, "a@127.0.0.1:\u00b2", "b")
         found = [
             (f"u/{calls.JOB}.{place}", records.encode_value(unit))
             for place in ("0.0.9", "0.9.0", "9.0.0", "0.0", "0.0.\u00b2")
