Ended all greenlets of drawn restarts with their test.

Cause: greenlets of the drawn restarts ran on after the test. A later test of the same process that simulates time caught them: in each of four runs in which test_lease_clocks.py followed, it failed ("Can only use Waiter.switch method from the Hub greenlet").

Change: they belong to a group that ends with the play.

Result: test_restart_faults.py, then test_lease_clocks.py and test_lease_model.py in one process: passed, once.

--- a/tests/control/test_restart_faults.py
+++ b/tests/control/test_restart_faults.py
@@ -4,6 +4,7 @@
 import time
 
 import gevent
+from gevent import pool
 import pytest
 
 from chervilcove.control import commands
@@ -29,6 +30,7 @@
             worker.clock_start = time.monotonic() - 1_000.0
         self.entry = self.system.add_entry("a")
         self.job_count = 0
+        self.faults = pool.Group()
 
     def run(self):
         steps = [
@@ -56,7 +58,7 @@
             is_gang=self.random.random() < 0.2,
         )
         job = f"{self.job_count:016x}"
-        gevent.spawn(self.system.submit, self.entry, job, spec)
+        self.faults.spawn(self.system.submit, self.entry, job, spec)
 
     def end_task(self):
         worker = self.random.choice(self.workers)
@@ -66,7 +68,7 @@
     def restart_worker(self):
         worker = self.random.choice(self.workers)
         if not worker.is_cut:
-            gevent.spawn(self.restart_with_late_calls, worker)
+            self.faults.spawn(self.restart_with_late_calls, worker)
 
     def restart_with_late_calls(self, worker):
         """Crash a worker that has not answered, and cut off its next process.
@@ -97,11 +99,12 @@
         if worker.is_cut or self.random.random() < 0.5:
             return
         worker.is_cut = True
-        gevent.spawn_later(
-            self.random.choice([0.5, 2.0]), self.reconnect, worker
+        self.faults.spawn(
+            self.reconnect, worker, self.random.choice([0.5, 2.0])
         )
 
-    def reconnect(self, worker):
+    def reconnect(self, worker, delay_s):
+        gevent.sleep(delay_s)
         worker.is_cut = False
         self.run_late(worker)
 
@@ -132,6 +135,7 @@
             overlaps = play.system.list_overlaps()
             lives = [worker.report.life for worker in play.workers]
         finally:
+            play.faults.kill()
             play.system.kill_all()
         assert sum(lives) > len(lives)
         assert overlaps == []
