--- a/chervilcove/control/fleet.py
+++ b/chervilcove/control/fleet.py
@@ -1,9 +1,10 @@
 """The fleet: sessions with all workers, and their free resources.
 
 A run may start again elsewhere once its worker says that it is gone, or once no
-lease that any owner gave can live (`Fleet.get_lease_expiry`). Nothing else
-shows that a run has ended: a worker without a report may only be unable to
-reach the store, and a worker may leave later than it announced.
+lease that any owner gave can live (`Fleet.get_lease_expiry`) and no start of it
+may still be carried out (`Fleet.may_start_late`). Nothing else shows that a run
+has ended: a worker without a report may only be unable to reach the store, and
+a worker may leave later than it announced.
 """
 
 from collections.abc import Callable
