Kept ends listed while a start of their task may still come.

Cause: the owner acknowledged an end once it was stored. A start without an answer may be carried out seconds later, also by the worker's next process, which knows neither the run nor any fence. Nothing can refuse it there before the first renewal.

Evidence: in the record of the case, one run with two tries; the first one is carried out behind the cut, after the acknowledgement and before any renewal.

Change: ends as done or failed are kept listed, not acknowledged, for as long as a start of any run of their unit may come (`control/open_starts.py`). They are stored and shown as before, so that no caller waits. The unit is recorded in the ledger before its start is tried again; the next owner reads these records, and adds units whose run of an earlier owner is lost without ever having been listed. The rule counts an end only if it is taken note of; a process that dies with such an end takes it along.

Log and metric: `start_left_open`, `starts.open`.

--- a/chervilcove/control/commands.py
+++ b/chervilcove/control/commands.py
@@ -8,6 +8,7 @@
 
 from chervilcove.control import fleet as fleets
 from chervilcove.control import interfaces
+from chervilcove.control import open_starts as open_start_values
 from chervilcove.control import runs
 from chervilcove.control import sessions
 from chervilcove.core import errors
@@ -33,6 +34,7 @@
 
     Args:
         fleet: Workers of the owner.
+        open_starts: Units with a start that may still be carried out.
         on_deposed: Called with a reason when a worker knows a newer owner.
         wake: Requests a scheduling round.
         may_start: Tells whether the owner was heard by the ledger so recently
@@ -44,12 +46,14 @@
         self,
         *,
         fleet: fleets.Fleet,
+        open_starts: open_start_values.OpenStarts,
         on_deposed: Callable[[str], None],
         wake: Callable[[], None],
         may_start: Callable[[], bool],
         metrics: metric_values.Metrics,
     ):
         self._fleet = fleet
+        self._open_starts = open_starts
         self._on_deposed = on_deposed
         self._wake = wake
         self._may_start = may_start
@@ -77,9 +81,10 @@
     ) -> None:
         """Start one task, and retry while no answer arrives.
 
-        Retries are safe, since a worker starts the same run at most once. A
-        start that is never answered is followed by a stop, after which the
-        worker rejects that run.
+        Retries are safe, since a process of a worker starts the same run at
+        most once; see `open_starts` for later processes. A start that is never
+        answered is followed by a stop, after which the process rejects that
+        run.
         """
         refusal = None
         for count in range(START_TRIES):
@@ -138,6 +143,7 @@
                     life=member.place.life,
                     tries=count + 1,
                 )
+                self._open_starts.record_unanswered(run.key.format())
             else:
                 break
         if member.phase is not runs.Phase.ORDERED:
--- a/chervilcove/control/fleet.py
+++ b/chervilcove/control/fleet.py
@@ -74,12 +74,12 @@
         self._has_new_limits = False
         # Number of listed workers that get no session.
         self._left_out = 0
-        # Earlier owners may have sent leases until then.
-        self._inherited_until = max(time.monotonic(), renewals_end)
+        # Earlier owners may have sent leases and starts until then.
+        self.inherited_until = max(time.monotonic(), renewals_end)
         # Runs of earlier owners may be alive until then on workers that don't
         # answer.
         self.inherited_expiry = (
-            self._inherited_until
+            self.inherited_until
             + sessions.LEASE_MS / 1000 * sessions.CLOCK_SLACK
             + sessions.EXPIRY_MARGIN_S
         )
@@ -319,7 +319,7 @@
             self._on_deposed(f"worker {report.id} restarted too often")
             return
         expires_at = self.inherited_expiry
-        lease_sent_at = self._inherited_until
+        lease_sent_at = self.inherited_until
         if old is not None:
             expires_at = old.expires_at
             lease_sent_at = old.lease_sent_at
--- a/chervilcove/control/follower.py
+++ b/chervilcove/control/follower.py
@@ -61,6 +61,8 @@
         self.table = table.JobTable()
         self.owner_seen_at = 0.0  # monotonic seconds
         self.worker_count = 0  # as an owner recorded it, 0 if unknown
+        # Units with a start that may still be carried out, as recorded.
+        self.open_starts: set[str] = set()
         # Earlier owners that may not know that they were replaced, and the
         # monotonic seconds until which they may renew leases.
         self._superseded: dict[records.Process, float] = {}
@@ -176,6 +178,7 @@
         """Rebuild the table from the newest record of each key."""
         self.table = table.JobTable()
         self._superseded = {}
+        self.open_starts = set()
         self.is_loaded = True
         self._apply(chunk, is_live=False)
         if self._working_table is not None:
@@ -236,6 +239,8 @@
                 self._record_owner_time(record.value, is_live=is_live)
             if record.kind is records.Kind.FLEET:
                 self.worker_count = record.value or 0
+            if record.kind is records.Kind.OPEN_START:
+                self._record_open_start(record)
             self.table.apply(record)
             if (
                 is_live
@@ -273,6 +278,12 @@
             process: known.get(process, until) for process in claim.superseded
         }
 
+    def _record_open_start(self, record: records.Record) -> None:
+        if record.value is None:
+            self.open_starts.discard(record.name)
+        else:
+            self.open_starts.add(record.name)
+
     def _record_heartbeat(self, beat: records.OwnerHeartbeat) -> None:
         if beat.epoch == self.own_epoch:
             self.own_sequence = max(self.own_sequence, beat.sequence)
--- a/chervilcove/control/owners.py
+++ b/chervilcove/control/owners.py
@@ -26,6 +26,7 @@
 from chervilcove.control import job_ends
 from chervilcove.control import kept_rooms
 from chervilcove.control import neighbours
+from chervilcove.control import open_starts
 from chervilcove.control import owner_writer
 from chervilcove.control import planner
 from chervilcove.control import run_monitor
@@ -132,8 +133,16 @@
         self._isolation = isolation.FaultIsolation(
             log=self.log, metrics=metrics
         )
+        self._open_starts = open_starts.OpenStarts(
+            writer=self.writer,
+            epoch=epoch,
+            inherited=follower.open_starts,
+            inherited_until=self.fleet.inherited_until,
+            metrics=metrics,
+        )
         self._commands = commands.CommandSender(
             fleet=self.fleet,
+            open_starts=self._open_starts,
             on_deposed=on_deposed,
             wake=self.wake,
             may_start=self._may_renew,
@@ -369,6 +378,7 @@
         self._isolation.attempt("starts", self._schedule)
         if time.monotonic() - self._purged_at > PURGE_INTERVAL_S:
             self._purged_at = time.monotonic()
+            self._open_starts.drop_expired()
             self._job_ends.purge()
             self._planner.purge()
 
@@ -402,10 +412,8 @@
             if not self._process_running_task(session, row):
                 untracked.append(untracked_runs.ListedRun(row.task, row.run))
         self._untracked.replace(renewal.worker, untracked)
-        last = 0
         for end in reply.ended:
             listed.add((end.task, end.run))
-            last = max(last, end.number)
             self._process_end(session, end)
         for key in list(self._runs_by_worker.get(renewal.worker, ())):
             run = self._runs[key]
@@ -423,6 +431,7 @@
         self._run_monitor.pace_fillers(renewal.worker)
         self._neighbours.observe_worker(renewal.worker)
         self._speeds.observe_worker(renewal.worker)
+        last = self._open_starts.choose_acknowledged(reply)
         if last > session.last_seen:
             # The worker may forget these ends once the records that result
             # from them are stored.
@@ -553,6 +562,8 @@
         """
         member.phase = runs.Phase.ENDED
         member.outcome = outcome
+        if outcome == "lost" and run.is_adopted and not member.is_listed:
+            self._open_starts.record_inherited(run.key.format())
         self._kept_rooms.release_member(run, member)
         self._metrics.count(f"runs.ended.{outcome}")
         worker = member.place.worker
--- a/chervilcove/core/catalogue.py
+++ b/chervilcove/core/catalogue.py
@@ -179,6 +179,12 @@
         "Tasks of the lowest priority that leave room for urgent arrivals.",
         "Normal under load; see OPERATIONS.md, A job is late.",
     ),
+    Metric(
+        "starts.open",
+        "gauge",
+        "Units with an unanswered start that may still be carried out.",
+        "Rising: answers of workers are lost; search for `start_left_open`.",
+    ),
     Metric(
         "starts.refused.*",
         "counter",
--- a/chervilcove/jobs/records.py
+++ b/chervilcove/jobs/records.py
@@ -4,7 +4,8 @@
 the entry that answers the caller. UNIT, END and BEAT records are written by
 the owner and carry its epoch. A CLAIM record makes its writer the owner. An
 ENTRY record announces the incarnation of an entry that has started. A TIME
-record holds the owner's time of day, a FLEET record the number of workers.
+record holds the owner's time of day, a FLEET record the number of workers. An
+OPEN_START record names a unit of which a start got no answer.
 """
 
 import enum
@@ -39,6 +40,7 @@
     BEAT = "beat"
     TIME = "time"
     FLEET = "fleet"
+    OPEN_START = "open"
 
 
 OWNER_KINDS = frozenset((Kind.UNIT, Kind.END, Kind.CLAIM, Kind.BEAT))
@@ -268,6 +270,7 @@
     Kind.BEAT: OwnerHeartbeat,
     Kind.TIME: Annotated[int, msgspec.Meta(ge=0, le=specs.MAX_TIME_MS)],
     Kind.FLEET: Annotated[int, msgspec.Meta(ge=0, le=specs.MAX_VALUE)],
+    Kind.OPEN_START: Annotated[int, msgspec.Meta(ge=0)],  # epoch of the owner
 }
 
 
--- a/tests/control/system.py
+++ b/tests/control/system.py
@@ -152,6 +152,24 @@
             if one.task == other.task and other.began < one.ended
         ]
 
+    def list_repeats(self):
+        """Return runs of tasks of which an end as done was acknowledged.
+
+        Each one began after that end, which may be acknowledged later.
+        """
+        intervals = [
+            interval
+            for worker in self.fleet.workers.values()
+            for interval in worker.intervals
+        ]
+        return [
+            (other.task, other.run)
+            for one in intervals
+            if one.is_end_noted and one.outcome == "done"
+            for other in intervals
+            if other.task == one.task and other.began >= one.ended
+        ]
+
     def submit(self, entry, job, spec, queue="batch", time_left_s=3.0):
         return entry.job_api.submit(
             job=job,
