Reached every step that waits for grants of a policy.

Cause: each call to the policy was about the first step that lacked a ticket. Calls take 0.31 s and tickets hold for 2.5 s, so that from about the ninth step on none was ever asked about. A call that failed was repeated before all others, too.

Change: calls alternate between the first step by rank and the next one by turn (`dispatch/grant_order.py`). By turn, steps without any grant come first, then the customer and the step that were asked for longest ago. So every step is reached, and an urgent one waits for one other call.

Log: `policy_answered` has `is_first` and `waiting`.

Tests: test_step_behind_them_is_granted_idle_workers and test_step_that_the_policy_never_answers_delays_no_others failed before.

--- a/chervilcove/control/grants.py
+++ b/chervilcove/control/grants.py
@@ -2,8 +2,8 @@
 
 A policy decides which workers may run a step, and its decision for a step never
 changes. It grants tickets, each for one process of a worker and valid for a
-limited time. A policy answers one call at a time, so calls are sent one by one,
-starting with the first waiting step.
+limited time. A policy answers one call at a time, so calls are sent one by one;
+`grant_order` chooses the step of each.
 """
 
 from collections.abc import Callable
@@ -17,10 +17,10 @@
 from chervilcove.core import errors
 from chervilcove.core import metrics as metric_values
 from chervilcove.core import tasks
+from chervilcove.dispatch import grant_order
 from chervilcove.dispatch import grant_requests
 from chervilcove.dispatch import resources as resource_values
 from chervilcove.jobs import configuration
-from chervilcove.jobs import specs
 from chervilcove.jobs import table
 
 POLICY_TIMEOUT_S = 3.0  # for an answer about MAX_WORKERS_PER_REQUEST workers
@@ -31,20 +31,6 @@
 CHECK_INTERVAL_S = 0.25  # between looks at grants that lapse
 
 
-class WaitingStep(NamedTuple):
-    """A step that waits for grants.
-
-    Attributes:
-        step_key: Job id, number of the occurrence and number of the step.
-        service: Pool of workers that may run the step.
-        step: The step.
-    """
-
-    step_key: tuple[str, int, int]
-    service: str
-    step: specs.Step
-
-
 class _PolicyAnswer(NamedTuple):
     """Answer of the policy about one process of a worker."""
 
@@ -77,11 +63,14 @@
         self._wake_owner = wake
         self._metrics = metrics
         self._answers: dict[tuple[str, int, int], dict[str, _PolicyAnswer]] = {}
-        self._waiting_steps: list[WaitingStep] = []
+        self._waiting_steps: list[grant_order.WaitingStep] = []
+        self._order = grant_order.GrantOrder()
         self._changed = event.Event()
 
-    def set_waiting_steps(self, waiting: Iterable[WaitingStep]) -> None:
-        """Replace the waiting steps, given in the order of their requests.
+    def set_waiting_steps(
+        self, waiting: Iterable[grant_order.WaitingStep]
+    ) -> None:
+        """Replace the waiting steps, given by rank.
 
         Cached answers about all other steps are dropped.
         """
@@ -91,6 +80,7 @@
             step_key for step_key in self._answers if step_key not in step_keys
         ]:
             del self._answers[step_key]
+        self._order.forget_others(self._waiting_steps)
         if self._waiting_steps:
             self._changed.set()
 
@@ -117,14 +107,19 @@
                 pass
 
     def _request_next(self) -> bool:
-        """Request grants for the first step that lacks them.
+        """Request grants for the next step that lacks them.
 
         Returns:
             Whether a step lacked grants.
         """
         if self._policy is None:
             return False
-        for waiting in self._waiting_steps:
+        granted = {
+            step_key
+            for step_key, answers in self._answers.items()
+            if any(answer.ticket is not None for answer in answers.values())
+        }
+        for waiting in self._order.list_next(self._waiting_steps, granted):
             workers = grant_requests.choose_workers_to_ask(
                 resources=self._resources,
                 service=waiting.service,
@@ -132,13 +127,14 @@
                 known_grants=self._get_valid_answers(waiting.step_key),
             )
             if workers:
-                self._request(waiting.step_key, workers)
+                self._request(waiting, workers)
                 return True
         return False
 
     def _request(
-        self, step_key: tuple[str, int, int], workers: list[str]
+        self, waiting: grant_order.WaitingStep, workers: list[str]
     ) -> None:
+        step_key = waiting.step_key
         lives = {
             name: self._resources.by_worker[name].worker.life
             for name in workers
@@ -150,6 +146,9 @@
         )
         took_s = time.monotonic() - asked
         self._metrics.record_time("grants.asked", took_s)
+        self._order.record_call(
+            waiting, is_answered=not errors.is_refusal(outcome)
+        )
         if errors.is_refusal(outcome):
             self.log.warn(
                 "policy_unanswered",
@@ -166,6 +165,8 @@
             workers=len(workers),
             granted=",".join(sorted(outcome.tickets)),
             valid_s=outcome.valid_s,
+            is_first=step_key not in self._answers,
+            waiting=len(self._waiting_steps),
             took_ms=int(took_s * 1000),
         )
         # The policy may have decided as soon as the request was sent, so the
@@ -199,7 +200,7 @@
     jobs: Iterable[table.Job],
     get_queue: Callable[[table.Job], configuration.Queue],
     now_ms: int,
-) -> list[WaitingStep]:
+) -> list[grant_order.WaitingStep]:
     """Return waiting steps that need grants, by priority, then age.
 
     Args:
@@ -217,6 +218,9 @@
             if job.count_waiting_units(occurrence, number):
                 step = job.spec.steps[number]
                 step_key = (job.id, occurrence, number)
-                found.append((rank, WaitingStep(step_key, queue.service, step)))
+                waiting = grant_order.WaitingStep(
+                    step_key, queue.service, job.submission.customer, step
+                )
+                found.append((rank, waiting))
     found.sort(key=lambda pair: pair[0])
     return [waiting for _, waiting in found]
--- a/chervilcove/standins/fleet.py
+++ b/chervilcove/standins/fleet.py
@@ -370,10 +370,13 @@
 
 
 class MemoryPolicy(interfaces.PlacementPolicy):
-    """Policy that grants the same workers to every step.
+    """Policy that answers one call at a time.
 
     Attributes:
         granted: Names of the workers that it grants.
+        granted_by_job: The same for the steps of single jobs, by job id.
+        decide_s: Seconds until it answers a call.
+        silent_jobs: Jobs about which all calls are refused.
         valid_s: Seconds for which its tickets are valid.
         refusals: Number of further calls that are refused as `BUSY`.
         asked: Step and requested workers of each call, in order.
@@ -381,6 +384,9 @@
 
     def __init__(self, *, granted: set[str], valid_s: float = 60.0):
         self.granted = granted
+        self.granted_by_job: dict[str, set[str]] = {}
+        self.decide_s = 0.0
+        self.silent_jobs: set[str] = set()
         self.valid_s = valid_s
         self.refusals = 0
         self.asked: list[tuple[str, list[str]]] = []
@@ -389,15 +395,18 @@
         self, step: str, workers: list[str], *, timeout_s: float
     ) -> interfaces.PolicyGrants | errors.Refusal:
         """Return a ticket for each granted worker among `workers`."""
-        gevent.sleep(0)
         self.asked.append((step, workers))
+        gevent.sleep(self.decide_s)
+        job = step.partition(".")[0]
+        if job in self.silent_jobs:
+            return errors.refuse(errors.Kind.BUSY, "policy is busy")
         if self.refusals:
             self.refusals -= 1
             return errors.refuse(errors.Kind.BUSY, "policy is busy")
         tickets = {
             worker: f"{step}@{worker}"
             for worker in workers
-            if worker in self.granted
+            if worker in self.granted_by_job.get(job, self.granted)
         }
         return interfaces.PolicyGrants(tickets, self.valid_s)
 
--- a/tests/control/test_grants.py
+++ b/tests/control/test_grants.py
@@ -1,3 +1,6 @@
+import time
+
+import gevent
 import pytest
 
 from chervilcove.dispatch import grant_requests
@@ -88,6 +91,71 @@
         systems.wait_until(lambda: len(worker.starts) == 9)
 
 
+class TestStepsThatWaitForRoom:
+    def fill_worker(self, policy_system, *, waiting):
+        """Let `waiting` jobs wait for "w2", which is full."""
+        policy = policy_system.fleet.policy
+        policy.decide_s, policy.valid_s = 0.1, 1.0
+        entry = policy_system.add_entry("a")
+        systems.wait_until(lambda: entry._owner is not None)
+        policy_system.submit(entry, JOB, systems.build_spec(count=8))
+        worker = policy_system.fleet.workers["w2"]
+        worker.percent_per_s = 1.0
+        systems.wait_until(lambda: len(worker.starts) == 8)
+        for number in range(1, waiting + 1):
+            job = f"{number:016x}"
+            policy_system.submit(entry, job, systems.build_spec())
+        gevent.sleep(2.0)
+        return entry
+
+    def test_step_behind_them_is_granted_idle_workers(self, policy_system):
+        # Tickets of steps in front lapsed sooner than all could be renewed, so
+        # that the policy was never asked about the steps behind them.
+        entry = self.fill_worker(policy_system, waiting=10)
+        last = "00000000000000bb"
+        policy_system.fleet.policy.granted_by_job[last] = {"w0"}
+        policy_system.submit(entry, last, systems.build_spec())
+        began = time.monotonic()
+        policy_system.wait_for_run(f"{last}.0.0.0")
+        assert time.monotonic() - began < 2.0
+
+    def test_urgent_step_waits_for_few_calls(self, policy_system):
+        # Renewals for steps that wait for room must not delay urgent work.
+        entry = self.fill_worker(policy_system, waiting=10)
+        feed = policy_system.operator_feed
+        config = feed.operations.configuration
+        queues = [
+            queue._replace(needs_advice=True)
+            for queue in config.queues.values()
+        ]
+        feed.operations = feed.operations._replace(
+            configuration=configuration.Configuration(
+                version=3, queues=queues, customers=systems.CUSTOMERS
+            )
+        )
+        last = "00000000000000bb"
+        policy = policy_system.fleet.policy
+        policy.granted_by_job[last] = {"w0"}
+        policy_system.submit(entry, last, systems.build_spec(), queue="urgent")
+        before = len(policy.asked)
+        policy_system.wait_for_run(f"{last}.0.0.0")
+        assert len(policy.asked) <= before + 2
+
+    def test_step_that_the_policy_never_answers_delays_no_others(
+        self, policy_system
+    ):
+        # A call that failed was repeated before any other call was made.
+        policy = policy_system.fleet.policy
+        policy.silent_jobs.add(JOB)
+        entry = policy_system.add_entry("a")
+        systems.wait_until(lambda: entry._owner is not None)
+        policy_system.submit(entry, JOB, systems.build_spec())
+        systems.wait_until(lambda: policy.asked)
+        other = "00000000000000bb"
+        policy_system.submit(entry, other, systems.build_spec())
+        policy_system.wait_for_run(f"{other}.0.0.0")
+
+
 class TestChooseWorkersToAsk:
     def _choose(self, resources, step, answers=None):
         return grant_requests.choose_workers_to_ask(
