Searched for victims for every step that waits, in slow rounds too.

Steps behind twelve others for which there are no victims were never preempted for, in rounds that are more than 0.1 s apart.

Cause: a round searches for victims for twelve steps, by rank. One that was searched for in vain is left out for 0.1 s; after a slow round all of the first twelve are due again, before those that were passed over.

Change: half of the searches go to the steps that have waited longest for one (`dispatch/search_turns.py`). With up to twelve steps that wait nothing changes.

Test: test_steps_behind_others_are_searched_for_in_slow_rounds failed before.

--- a/chervilcove/dispatch/rounds.py
+++ b/chervilcove/dispatch/rounds.py
@@ -20,16 +20,12 @@
 from chervilcove.dispatch import reservations
 from chervilcove.dispatch import resources as resource_values
 from chervilcove.dispatch import round_input
+from chervilcove.dispatch import search_turns
 from chervilcove.dispatch import separation
 from chervilcove.dispatch import start_gate
 from chervilcove.dispatch import victims
 from chervilcove.jobs import table
 
-# Searches for victims in one round, but for guaranteed work, and the time after
-# which a search without result is repeated. After an outage a hundred urgent
-# steps wait at once, and entries have half a processor.
-MAX_SEARCHES = 12
-SEARCH_RETRY_MS = 100
 # A step that isn't urgent may use the headroom once its slack falls below the
 # larger of two limits. The first one is the time to stop the work in the way
 # and as much again. The second one is a share of the initial slack: in replays
@@ -68,8 +64,7 @@
         preemptions: Preemptions that go on, by step key. Input of the next
             round.
         abandoned: Preemptions that were given up.
-        search_retry_at: Unix milliseconds until which no victims are searched
-            for a step, since there were none. Input of the next round.
+        search_retry_at: `SearchTurns.retry_at`. Input of the next round.
         held_back: Number of tasks that wait for the maximum of their customer,
             by customer.
         reserved: Workers kept for gangs that wait.
@@ -112,14 +107,13 @@
         self._allocated: list[resource_values.Allocation] = []
         self._starts: list[Start] = []
         self._victims = victims.VictimSearch(inputs)
-        self._search_count = 0
-        self._search_retry_at = {
-            step_key: at_ms
-            for step_key, at_ms in inputs.search_retry_at.items()
-            if at_ms > inputs.now_ms
-        }
         self._headroom: resource_values.Allocation | None = None
         self._pending = pending_steps.list_pending_steps(inputs)
+        self._search_turns = search_turns.SearchTurns(
+            waiting=[pending.step_key for pending in self._pending],
+            retry_at=inputs.search_retry_at,
+            now_ms=inputs.now_ms,
+        )
         self._delays = delay_scheduling.DelayScheduler(inputs, self._pending)
         self._preemptions = preemption.Preemptions(inputs, self._pending)
         self._maximums = maximums.CustomerMaximums(inputs)
@@ -154,7 +148,7 @@
             self._headroom,
             self._preemptions.active,
             tuple(self._preemptions.abandoned),
-            self._search_retry_at,
+            self._search_turns.retry_at,
             dict(self._maximums.held_back),
             tuple(self._reservations.held),
             self._gate.held_back,
@@ -343,9 +337,10 @@
         if not self._may_search(pending):
             return
         found = self._victims.find(pending, request, is_for_rack=is_for_rack)
+        self._search_turns.record_search(
+            pending.step_key, is_in_vain=found is None
+        )
         if found is None:
-            retry_at_ms = self._inputs.now_ms + SEARCH_RETRY_MS
-            self._search_retry_at[pending.step_key] = retry_at_ms
             return
         self._victims.stop(found.releases, pending.job.id)
         # The tasks start once the victims have ended. Until then no other task
@@ -366,17 +361,10 @@
         )
 
     def _may_search(self, pending: pending_steps.PendingStep) -> bool:
-        """Return whether victims are searched for a step in this round.
-
-        The others follow in the next rounds, soon after: in a round the owner
-        neither renews leases nor writes heartbeats.
-        """
+        """Return whether victims are searched for a step in this round."""
         if pending.rank.tier is ranking.Tier.GUARANTEED:
             return True
-        if pending.step_key in self._search_retry_at:
-            return False
-        self._search_count += 1
-        return self._search_count <= MAX_SEARCHES
+        return self._search_turns.may_search(pending.step_key)
 
     def _allocate(self, allocation: resource_values.Allocation) -> None:
         self._inputs.resources.allocate(allocation)
--- a/tests/dispatch/test_preemption.py
+++ b/tests/dispatch/test_preemption.py
@@ -4,7 +4,7 @@
 from chervilcove.dispatch import release_search
 from chervilcove.dispatch import resources as resource_values
 from chervilcove.dispatch import round_input
-from chervilcove.dispatch import rounds
+from chervilcove.dispatch import search_turns
 from chervilcove.jobs import table
 from tests.dispatch import test_rounds as helpers
 
@@ -267,18 +267,42 @@
         for _ in range(5):
             before = len(searches)
             pool.decide(jobs, now_ms=now_ms)
-            assert len(searches) - before <= rounds.MAX_SEARCHES
+            assert len(searches) - before <= search_turns.MAX_SEARCHES
             now_ms += 20
         # All gangs have been planned after five rounds.
         assert len(pool.plan.preemptions) == 50
 
+    def test_steps_behind_others_are_searched_for_in_slow_rounds(self):
+        # Rounds further apart than RETRY_MS searched for the first
+        # steps by rank only, in vain each time.
+        pool = Pool(1)
+        pool.run("urgent", "w0", is_urgent=True)
+        pool.run("other", "w1", run_s=0.1)
+        jobs = [
+            build_gang(f"{number:03}", since_ms=NOW_MS - 1)
+            for number in range(5 * search_turns.MAX_SEARCHES)
+        ]
+        small = helpers.build_job(
+            "small",
+            helpers.build_step(8, is_gang=True)._replace(estimate_ms=9_000),
+            queue="urgent",
+        )
+        for number in range(12):
+            pool.decide(
+                [*jobs, small],
+                now_ms=NOW_MS + number * (search_turns.RETRY_MS + 1),
+            )
+            if pool.plan.stops:
+                break
+        assert pool.list_stopped() == ["other"]
+
     def test_step_without_victims_does_not_hold_up_the_others(self):
         pool = Pool(1)
         pool.run("urgent", "w0", is_urgent=True)
         pool.run("other", "w1", run_s=0.1)
         jobs = [
             build_gang(f"{number:03}", since_ms=NOW_MS - 1)
-            for number in range(rounds.MAX_SEARCHES)
+            for number in range(search_turns.MAX_SEARCHES)
         ]
         small = helpers.build_job(
             "small",
