--- a/chervilcove/core/http.py
+++ b/chervilcove/core/http.py
@@ -176,6 +176,7 @@
         body: bytes = b"",
         headers: dict[str, str] | None = None,
         timeout_s: float = 5.0,
+        limit_s: float | None = None,
         accept: Callable[[Reply], errors.Refusal | None] | None = None,
     ) -> Reply | errors.Refusal:
         """Send one request and return the complete response.
@@ -186,7 +187,10 @@
             body: Request body.
             headers: Header fields.
             timeout_s: Timeout of the whole call, connecting included, in
-                seconds.
+                seconds; with `limit_s`, longest time without a byte of the
+                response.
+            limit_s: Timeout of the whole call in seconds, for a response that
+                may be large. None for `timeout_s`.
             accept: Checks the response before its connection may be reused.
                 If it returns a refusal, the connection is closed and the
                 refusal is returned.
@@ -201,7 +205,7 @@
             method, path, body=body, headers=headers or {}
         )
         content = head.encode("latin-1") + body
-        deadline = gevent.Timeout.start_new(timeout_s)
+        deadline = gevent.Timeout.start_new(limit_s or timeout_s)
         sock = None
         try:
             sock = self._pool.get_socket()
@@ -215,6 +219,8 @@
             if sock is None:
                 deadline.close()
         try:
+            if limit_s is not None:
+                sock.settimeout(timeout_s)
             return self._exchange(sock, method, content, accept)
         except gevent.Timeout as expired:
             if expired is not deadline:
@@ -261,6 +267,7 @@
             return errors.refuse(errors.Kind.BAD_ANSWER, str(error))
         finally:
             if is_reusable:
+                sock.settimeout(None)
                 self._pool.return_socket(sock)
             else:
                 self._pool.release_socket(sock)
--- a/chervilcove/platform/store.py
+++ b/chervilcove/platform/store.py
@@ -4,7 +4,6 @@
 """
 
 import abc
-import base64
 from typing import Any
 from typing import NamedTuple
 from urllib import parse
@@ -15,35 +14,17 @@
 from chervilcove.control import readers
 from chervilcove.core import errors
 from chervilcove.core import http
+from chervilcove.platform import snapshots
 
 CONNECTIONS = 12  # long polls of three topics, and tries of appends
 # A store that drops connection requests instead of refusing them would block
 # until the timeout.
 CONNECT_TIMEOUT_S = 0.6
 MAX_READ_KB = 1024  # as the default of the store
-# Ends a snapshot read whose pages never end. A page has up to 500 keys.
-MAX_SNAPSHOT_PAGES = 1_000
-PAGE_TRIES = 3  # for each page of a snapshot
 OWNER_PRODUCER = "owner"
 PARTITION = 0
 
 
-class _Item(msgspec.Struct):
-    """JSON format of one record of a page; `value` is in base64."""
-
-    key: str
-    value: str | None = None
-    offset: int = 0
-
-
-class _Page(msgspec.Struct):
-    """JSON format of a page of the newest records."""
-
-    items: list[_Item]
-    end_offset: int
-    has_more: bool = False
-
-
 class _AppendResponse(msgspec.Struct):
     """Response to an append; `offset` is that of the first record."""
 
@@ -104,6 +85,13 @@
     def __init__(self, *, peer: http.HttpPeer, topic: str):
         self._peer = peer
         self._topic = topic
+        self._snapshots = snapshots.SnapshotReader(
+            topic=topic,
+            get_page=self._get_page,
+            read_appended=lambda offset, timeout_s: self.read(
+                offset, wait_s=0.0, timeout_s=timeout_s
+            ),
+        )
 
     def append(
         self,
@@ -163,63 +151,25 @@
     ) -> interfaces.Chunk | errors.Refusal:
         """Return the newest record of each key.
 
-        The pages are not one consistent snapshot. The caller continues to read
-        from the end offset of the first page and so gets all changes since.
-        """
-        records: list[interfaces.KeyedRecord] = []
-        first_end: int | None = None
-        last_end = 0
-        query: dict[str, Any] = {"topic": self._topic, "part": PARTITION}
-        for _ in range(MAX_SNAPSHOT_PAGES):
-            reply = self._call_again(
-                "GET", "/log-newest", query, timeout_s=timeout_s
-            )
-            if errors.is_refusal(reply):
-                return reply
-            if reply.status != 200:
-                return _refuse_unexpected_status(reply)
-            page = decode(reply.body, _Page)
-            if errors.is_refusal(page):
-                return page
-            if first_end is None:
-                first_end = page.end_offset
-            last_end = max(last_end, page.end_offset)
-            try:
-                records += [
-                    interfaces.KeyedRecord(
-                        item.offset,
-                        item.key,
-                        base64.b64decode(item.value or ""),
-                    )
-                    for item in page.items
-                ]
-            except ValueError as error:
-                return errors.refuse(errors.Kind.BAD_ANSWER, str(error))
-            if not page.has_more or not page.items:
-                break
-            query["after"] = page.items[-1].key
-        records.sort()
-        return interfaces.Chunk(records, first_end or 0, last_end)
-
-    def _call_again(
-        self, method: str, path: str, query: dict[str, Any], *, timeout_s: float
-    ) -> http.Reply | errors.Refusal:
-        """Call, and repeat a call whose answer is lost.
+        The caller continues to read from `next_offset` of the result and so
+        gets all changes since. After a refusal, the next call goes on where
+        this one ended.
 
-        While part of the answers are lost, a snapshot of many pages would
-        otherwise hardly ever be complete.
+        Args:
+            timeout_s: Longest time without a byte of an answer, in seconds.
         """
-        reply: http.Reply | errors.Refusal = errors.refuse(
-            errors.Kind.OUTCOME_UNKNOWN, "not called"
+        return self._snapshots.read(timeout_s=timeout_s)
+
+    def _get_page(
+        self, request: snapshots.PageRequest
+    ) -> http.Reply | errors.Refusal:
+        return self._call(
+            "GET",
+            "/log-newest",
+            {"topic": self._topic, "part": PARTITION, **request.query},
+            timeout_s=request.timeout_s,
+            limit_s=request.limit_s,
         )
-        for _ in range(PAGE_TRIES):
-            reply = self._call(method, path, query, timeout_s=timeout_s)
-            if (
-                not errors.is_refusal(reply)
-                or reply.kind is not errors.Kind.OUTCOME_UNKNOWN
-            ):
-                return reply
-        return reply
 
     def _call(
         self,
@@ -229,6 +179,7 @@
         *,
         body: bytes = b"",
         timeout_s: float,
+        limit_s: float | None = None,
     ) -> http.Reply | errors.Refusal:
         reply = self._peer.call(
             method,
@@ -236,6 +187,7 @@
             body=body,
             headers={"Content-Type": "application/octet-stream"},
             timeout_s=timeout_s,
+            limit_s=limit_s,
         )
         if not errors.is_refusal(reply):
             return reply
