Read ends after kept ones within a tenth of a second.

Cause: a worker with kept ends answers renewals at once, so that its session paused for 0.5 s between them. Later ends there, also those of stopped victims, were read up to 0.5 s late; urgent gangs wait for all their victims.

Change: the pause is 0.1 s while ends are kept.

Test: test_ends_after_one_that_is_kept_are_read_soon.

--- a/chervilcove/control/owners.py
+++ b/chervilcove/control/owners.py
@@ -432,6 +432,7 @@
         self._neighbours.observe_worker(renewal.worker)
         self._speeds.observe_worker(renewal.worker)
         last = self._open_starts.choose_acknowledged(reply)
+        session.set_kept_ends(any(end.number > last for end in reply.ended))
         if last > session.last_seen:
             # The worker may forget these ends once the records that result
             # from them are stored.
--- a/chervilcove/control/sessions.py
+++ b/chervilcove/control/sessions.py
@@ -32,6 +32,9 @@
 ANSWER_TIMEOUT_S = 0.7  # beyond the wait; workers answer in milliseconds
 RETRY_S = 0.25  # pause after a failed renewal
 ACKNOWLEDGE_WAIT_S = 0.5  # maximum wait for reported ends to be stored
+# A worker that keeps ends listed answers renewals at once. Pause between these,
+# by which later ends are read late.
+KEPT_ENDS_PAUSE_S = 0.1
 # Longest time from sending a call without an answer to its execution; the
 # interface only says "seconds later".
 MAX_CALL_DELAY_S = 12.0
@@ -116,6 +119,7 @@
         # Whether the owner could process the newest answer, None before it
         # processed any; the owner sets it.
         self.is_understood: bool | None = None
+        self._has_kept_ends = False
         self._fences = fences
         # Whether the present process has answered a renewal with its fence, so
         # that it refuses calls for earlier processes.
@@ -234,6 +238,12 @@
             self.last_seen = number
             self._wake.set()
 
+    def set_kept_ends(self, has_kept_ends: bool) -> None:
+        """Set whether listed ends wait for more than being stored."""
+        if has_kept_ends and not self._has_kept_ends:
+            self._wake.set()
+        self._has_kept_ends = has_kept_ends
+
     def wake(self) -> None:
         """Send the next renewal without further delay."""
         self._wake.set()
@@ -314,7 +324,11 @@
         self._wake.clear()
         self._on_renewal(Renewal(self.report.id, call.fence, asked, outcome))
         if any(end.number > self.last_seen for end in outcome.ended):
-            self._wake.wait(timeout=ACKNOWLEDGE_WAIT_S)
+            self._wake.wait(
+                timeout=KEPT_ENDS_PAUSE_S
+                if self._has_kept_ends
+                else ACKNOWLEDGE_WAIT_S
+            )
 
     def _is_of_another_process(
         self, reply: interfaces.LeaseReply, call: SentCall
--- a/tests/control/test_late_calls.py
+++ b/tests/control/test_late_calls.py
@@ -246,6 +246,23 @@
         assert time.monotonic() - began < 2.0 + sessions.ACKNOWLEDGE_WAIT_S + 1
         systems.wait_until(lambda: not entry._follower.open_starts)
 
+    def test_ends_after_one_that_is_kept_are_read_soon(self, system, entry):
+        # Read twice a second, urgent work waited for the ends of its victims.
+        worker = system.fleet.workers["w0"]
+        start_and_end(system, entry, "done")
+        systems.wait_until(lambda: is_shown_as_done(entry))
+        renewals = []
+        renew = worker.renew_lease
+
+        def count_renewal(**arguments):
+            renewals.append(time.monotonic())
+            return renew(**arguments)
+
+        worker.renew_lease = count_renewal
+        gevent.sleep(2.0)
+        assert worker.ended
+        assert len(renewals) > 8
+
     def test_a_full_list_of_ends_is_noted(self, system, entry):
         # A worker lists 500 ends; further ones would never be read.
         worker = system.fleet.workers["w0"]
