--- a/chervilcove/control/open_starts.py
+++ b/chervilcove/control/open_starts.py
@@ -11,7 +11,7 @@
 
 The units are recorded in the ledger before a start is tried again, so that the
 next owner knows them. A start that was not tried again has been carried out
-once its run is listed; if its run is lost instead, the unit is recorded then.
+if its run is listed; if the run is lost instead, the unit is recorded then.
 """
 
 from collections.abc import Callable
@@ -72,7 +72,7 @@
         stored.wait()
 
     def record_inherited(self, unit: str) -> None:
-        """Record that an earlier owner may have started a unit in vain."""
+        """Record that a start by an earlier owner may still be carried out."""
         if time.monotonic() < self._inherited_end:
             self._record(unit, self._inherited_end, None)
 
--- a/chervilcove/control/sessions.py
+++ b/chervilcove/control/sessions.py
@@ -32,8 +32,8 @@
 ANSWER_TIMEOUT_S = 0.7  # beyond the wait; workers answer in milliseconds
 RETRY_S = 0.25  # pause after a failed renewal
 ACKNOWLEDGE_WAIT_S = 0.5  # maximum wait for reported ends to be stored
-# A worker that keeps ends listed answers renewals at once. Pause between these,
-# by which later ends are read late.
+# Pause between renewals of a worker that keeps ends listed, which it answers at
+# once. Later ends there are read late by up to this.
 KEPT_ENDS_PAUSE_S = 0.1
 # Longest time from sending a call without an answer to its execution; the
 # interface only says "seconds later".
