Restored the reason of a limit, and named time-outs plainly.

The limit of searches for victims had lost its reason as it moved to a module of its own. A figure of speech for the factor of a time-out is gone, and two comments and an attribute's description in tests say what is so. No behaviour changed.

--- a/chervilcove/dispatch/search_turns.py
+++ b/chervilcove/dispatch/search_turns.py
@@ -1,9 +1,11 @@
 """Which steps get a search for victims in a round.
 
 In a round the owner neither renews leases nor writes heartbeats, so that only
-few searches fit into one. The first steps by rank may be searched for in vain
-round after round. Half of the searches therefore go to the steps that have
-waited longest for one, the others by rank.
+few searches fit into one: after an outage a hundred urgent steps wait at once,
+and entries have half a processor. Guaranteed work is searched for without this
+limit. The searches for the first steps by rank may fail round after round. Half
+of the searches therefore go to the steps that have waited longest for one, the
+others by rank.
 """
 
 from collections.abc import Iterable
@@ -11,7 +13,7 @@
 
 MAX_SEARCHES = 12  # in one round
 MAX_SEARCHES_BY_TURN = 6  # of these
-RETRY_MS = 100  # after a search in vain
+RETRY_MS = 100  # after a search without result
 
 StepKey = tuple[str, int, int]
 
--- a/chervilcove/platform/snapshots.py
+++ b/chervilcove/platform/snapshots.py
@@ -27,9 +27,9 @@
 # Ends a snapshot read whose pages never end. A page has up to 500 keys.
 MAX_PAGES = 1_000
 PAGE_TRIES = 3  # of each page, before the store counts as away
-PAGE_TIMEOUT_S = 30.0  # for a page whose bytes keep arriving
+PAGE_LIMIT_S = 30.0  # for a page whose bytes keep arriving
 # Limit of the factor by which tries without an answer raise the time-out.
-MAX_PATIENCE = 4
+MAX_TIMEOUT_FACTOR = 4
 # Between reads of appended records. The store keeps records for 20 s or more.
 APPENDED_INTERVAL_S = 5.0
 
@@ -62,7 +62,7 @@
         pages: Number of pages.
         size: Size of the pages, bytes.
         failures: Number of tries of pages without an answer.
-        patience: Factor of the time-out of the next try.
+        timeout_factor: Factor of the time-out of the next try.
         began: Monotonic seconds of the first call.
         appended_at: Monotonic seconds of the newest read of appended records.
     """
@@ -75,7 +75,7 @@
         self.pages = 0
         self.size = 0
         self.failures = 0
-        self.patience = 1
+        self.timeout_factor = 1
         self.began = self.appended_at = time.monotonic()
 
 
@@ -163,19 +163,23 @@
         )
         # Part of the answers may be lost.
         for _ in range(PAGE_TRIES):
-            patience_s = timeout_s * progress.patience
+            try_timeout_s = timeout_s * progress.timeout_factor
             asked = time.monotonic()
             reply = self._get_page(
-                PageRequest(query, patience_s, PAGE_TIMEOUT_S)
+                PageRequest(query, try_timeout_s, PAGE_LIMIT_S)
             )
             if not errors.is_refusal(reply):
-                if time.monotonic() - asked < patience_s / 2:
-                    progress.patience = max(1, progress.patience // 2)
+                if time.monotonic() - asked < try_timeout_s / 2:
+                    progress.timeout_factor = max(
+                        1, progress.timeout_factor // 2
+                    )
                 break
             progress.failures += 1
             if reply.kind is not errors.Kind.OUTCOME_UNKNOWN:
                 break
-            progress.patience = min(MAX_PATIENCE, progress.patience * 2)
+            progress.timeout_factor = min(
+                MAX_TIMEOUT_FACTOR, progress.timeout_factor * 2
+            )
         if errors.is_refusal(reply):
             return reply
         page = _parse_page(reply)
--- a/tests/control/test_late_calls.py
+++ b/tests/control/test_late_calls.py
@@ -276,7 +276,7 @@
     def test_next_owner_notes_ends_of_answered_starts_at_once(
         self, system, entry
     ):
-        # Kept back, the ends of all runs at each change of owner would be.
+        # Otherwise each change of owner would keep the ends of all runs listed.
         worker = system.fleet.workers["w0"]
         restarts.evacuate(system, "dc1")
         system.submit(entry, JOB, systems.build_spec())
--- a/tests/platform/test_snapshots.py
+++ b/tests/platform/test_snapshots.py
@@ -23,8 +23,8 @@
     Attributes:
         piece_pause_s: Pause after each of the ten pieces of a page, seconds.
         delay_s: Seconds before the first byte of a page.
-        answers_before_failure: Pages that it answers before it closes each
-            further connection without an answer, until `asked` is cleared.
+        answers_before_failure: Number of requests for a page that it answers.
+            For further ones it closes the connection without an answer.
         first_offset: First record that is still kept.
         end_offset: End of the topic.
         asked: Last key named in each request for a page, empty for none.
@@ -128,7 +128,7 @@
         # Only the first page needed more than one try.
         assert len(page_server.asked) == PAGES + 1
 
-    def test_lost_answers_cost_no_patience(self, page_server):
+    def test_lost_answers_do_not_lengthen_the_time_out(self, page_server):
         # One answer lost among fast ones says nothing about a busy store.
         page_server.topic.read_newest(timeout_s=TIMEOUT_S)
         delays = iter([10.0, 0.0, 10.0, 0.0, 10.0, 0.0, 0.0])
