Counted what an entry sends and receives, by call.

No metric or log line told what fills the link of an owner, so that a full link couldn't be told from silent workers. HttpPeer and WebServer now count bytes, calls without an answer and the wait until a request is taken, and the owner logs a summary every 5 s (link_used).

--- a/chervilcove/control/core.py
+++ b/chervilcove/control/core.py
@@ -23,6 +23,7 @@
 from chervilcove.core import identifiers
 from chervilcove.core import logs
 from chervilcove.core import metrics as metric_values
+from chervilcove.core import traffic as traffic_values
 from chervilcove.core import web
 from chervilcove.jobs import records
 from chervilcove.jobs import staleness
@@ -55,6 +56,7 @@
         values: Values of the deployment.
         metrics: Metrics of this entry.
         clock: Time that the entries share; None for a new one.
+        traffic: Counts what the entry sends and receives; None for a new one.
     """
 
     def __init__(
@@ -71,6 +73,7 @@
         values: deployment_values.DeploymentValues,
         metrics: metric_values.Metrics,
         clock: clocks.SharedClock | None = None,
+        traffic: traffic_values.Traffic | None = None,
     ):
         self.name = name
         self.incarnation = identifiers.create_id(name)
@@ -80,6 +83,7 @@
             self._identity += f":{peer_server.port}"
         self.caller_server = caller_server
         self.metrics = metrics
+        self._traffic = traffic or traffic_values.Traffic(metrics=metrics)
         self._log = logs.Log(source="entry")
         self._health_server = health_server
         self._operator_server = operator_server
@@ -246,6 +250,7 @@
             get_writer=lambda: self._owner and self._owner.writer,
             find_owner=self._find_owner,
             metrics=metrics,
+            traffic=self._traffic,
         ).append
 
     def _find_owner(self) -> tuple[str, int] | None:
@@ -273,6 +278,7 @@
             on_deposed=self._election.step_down,
             values=self._values,
             metrics=self.metrics,
+            traffic=self._traffic,
         )
         # They may have changed while it was created.
         self._owner.set_values(self._values)
--- a/chervilcove/control/owners.py
+++ b/chervilcove/control/owners.py
@@ -37,6 +37,7 @@
 from chervilcove.core import errors
 from chervilcove.core import metrics as metric_values
 from chervilcove.core import tasks
+from chervilcove.core import traffic as traffic_values
 from chervilcove.dispatch import resources as resource_values
 from chervilcove.dispatch import rounds
 from chervilcove.jobs import configuration
@@ -69,6 +70,7 @@
         on_deposed: Called with a reason once a newer owner is known.
         values: Values of the deployment.
         metrics: Metrics of this entry.
+        traffic: Counts what this entry sends and receives.
     """
 
     def __init__(
@@ -83,8 +85,10 @@
         on_deposed: Callable[[str], None],
         values: deployment_values.DeploymentValues,
         metrics: metric_values.Metrics,
+        traffic: traffic_values.Traffic,
     ):
         super().__init__(name="owner")
+        self._traffic = traffic
         self._config_bounds = values.config_bounds
         self.epoch = epoch
         self._follower = follower
@@ -381,6 +385,7 @@
             self._open_starts.drop_expired()
             self._job_ends.purge()
             self._planner.purge()
+            self.log.info("link_used", **self._traffic.take_summary())
 
     def _apply_reports(
         self, reports: dict[str, interfaces.WorkerReport]
--- a/chervilcove/control/relays.py
+++ b/chervilcove/control/relays.py
@@ -17,6 +17,7 @@
 from chervilcove.core import errors
 from chervilcove.core import http
 from chervilcove.core import metrics as metric_values
+from chervilcove.core import traffic as traffic_values
 from chervilcove.core import web
 from chervilcove.jobs import records
 
@@ -43,6 +44,7 @@
         find_owner: Returns the address (host, port) of an owner elsewhere;
             None if there is none, or if it isn't heard.
         metrics: Metrics of this entry.
+        traffic: Counts what the entry sends and receives.
     """
 
     def __init__(
@@ -52,7 +54,9 @@
         get_writer: Callable[[], owner_writer.OwnerWriter | None],
         find_owner: Callable[[], tuple[str, int] | None],
         metrics: metric_values.Metrics,
+        traffic: traffic_values.Traffic,
     ):
+        self._traffic = traffic
         self._get_writer = get_writer
         self._find_owner = find_owner
         self._metrics = metrics
@@ -98,6 +102,7 @@
             f"{PATH}?timeout_ms={int(wait_s * 1000)}",
             body=msgspec.msgpack.encode(items),
             timeout_s=wait_s + ANSWER_MARGIN_S,
+            name="owner_relay",
         )
         outcome = reply if errors.is_refusal(reply) else http.read_reply(reply)
         if not errors.is_refusal(outcome):
@@ -119,6 +124,7 @@
                 port=port,
                 connections=MAX_CONNECTIONS,
                 connect_timeout_s=CONNECT_TIMEOUT_S,
+                traffic=self._traffic,
             )
             self._avoid_until = 0.0
         return self._peer
--- a/chervilcove/core/catalogue.py
+++ b/chervilcove/core/catalogue.py
@@ -210,6 +210,36 @@
         "Time to append records of callers to the ledger.",
         "Above 0.2 s: the ledger is slow.",
     ),
+    Metric(
+        "traffic.calls.*",
+        "counter",
+        "Calls to other processes, by call, and requests served, by port.",
+        "Compare with `traffic.sent` and `traffic.received` for their sizes.",
+    ),
+    Metric(
+        "traffic.unanswered.*",
+        "counter",
+        "Calls that were sent and got no response in time, by call.",
+        "Rising for all calls at once: the link of this entry is full.",
+    ),
+    Metric(
+        "traffic.sent.*",
+        "counter",
+        "Bytes sent, by call and port; without TCP and IP.",
+        "Near the rate of the link: search the owner's log for `link_used`.",
+    ),
+    Metric(
+        "traffic.received.*",
+        "counter",
+        "Bytes received, by call and port; without TCP and IP.",
+        "Near the rate of the link: search the owner's log for `link_used`.",
+    ),
+    Metric(
+        "traffic.send_wait",
+        "timing",
+        "Time until the system took a request to another process.",
+        "Above 0.1 s: the link of this entry is full, or a peer hangs.",
+    ),
     Metric(
         "ledger.relayed.*",
         "counter",
--- a/chervilcove/core/http.py
+++ b/chervilcove/core/http.py
@@ -21,6 +21,7 @@
 import msgspec
 
 from chervilcove.core import errors
+from chervilcove.core import traffic as traffic_values
 
 MAX_RESPONSE_BYTES = 64 * 1024 * 1024
 
@@ -136,6 +137,7 @@
         connect_timeout_s: Timeout of a connection attempt in seconds.
         max_idle_s: Idle time in seconds after which a connection is no longer
             reused.
+        traffic: Counts the bytes of the calls, None for nothing.
     """
 
     def __init__(
@@ -146,7 +148,9 @@
         connections: int = 8,
         connect_timeout_s: float = 1.0,
         max_idle_s: float = 60.0,
+        traffic: traffic_values.Traffic | None = None,
     ):
+        self._traffic = traffic
         self._client = geventhttpclient.HTTPClient(host, port=port)
         self._pool = _Pool(
             host,
@@ -178,6 +182,7 @@
         timeout_s: float = 5.0,
         limit_s: float | None = None,
         accept: Callable[[Reply], errors.Refusal | None] | None = None,
+        name: str = "other",
     ) -> Reply | errors.Refusal:
         """Send one request and return the complete response.
 
@@ -194,6 +199,7 @@
             accept: Checks the response before its connection may be reused.
                 If it returns a refusal, the connection is closed and the
                 refusal is returned.
+            name: Name of the call in the counters of traffic.
 
         Returns:
             The reply; or a refusal: `CONNECT_FAILED` if nothing was sent,
@@ -221,7 +227,7 @@
         try:
             if limit_s is not None:
                 sock.settimeout(timeout_s)
-            return self._exchange(sock, method, content, accept)
+            return self._exchange(sock, method, content, accept, name)
         except gevent.Timeout as expired:
             if expired is not deadline:
                 raise
@@ -251,13 +257,19 @@
         method: str,
         content: bytes,
         accept: Callable[[Reply], errors.Refusal | None] | None,
+        name: str,
     ) -> Reply | errors.Refusal:
         is_reusable = False
+        began = time.monotonic()
+        sent_at = None
+        received = 0
         try:
             sock.sendall(content)
+            sent_at = time.monotonic()
             response = _SocketResponse(sock, method=method)
             body = bytes(response.read())
             reply = Reply(response.get_code(), _read_headers(response), body)
+            received = _measure(reply)
             refusal = accept(reply) if accept is not None else None
             is_reusable = refusal is None and not response.should_close()
             return reply if refusal is None else refusal
@@ -266,6 +278,13 @@
         except http_response.HTTPParseError as error:
             return errors.refuse(errors.Kind.BAD_ANSWER, str(error))
         finally:
+            if self._traffic is not None:
+                self._traffic.record_call(
+                    name,
+                    sent=len(content),
+                    received=received,
+                    send_wait_s=(sent_at or time.monotonic()) - began,
+                )
             if is_reusable:
                 sock.settimeout(None)
                 self._pool.return_socket(sock)
@@ -277,6 +296,14 @@
     return {str(name).lower(): str(text) for name, text in response.items()}
 
 
+def _measure(reply: Reply) -> int:
+    """Return the size of a response in bytes, all but its status line."""
+    return len(reply.body) + sum(
+        len(name) + len(text) + len(": \r\n")
+        for name, text in reply.headers.items()
+    )
+
+
 def _refuse_connect(reason: str) -> errors.Refusal:
     return errors.refuse(
         errors.Kind.CONNECT_FAILED, f"connection failed: {reason}"
--- a/chervilcove/core/web.py
+++ b/chervilcove/core/web.py
@@ -17,6 +17,7 @@
 from chervilcove.core import http
 from chervilcove.core import logs
 from chervilcove.core import metrics as metric_values
+from chervilcove.core import traffic as traffic_values
 from chervilcove.core import web_connections
 from chervilcove.core import web_handler
 from chervilcove.core import web_input
@@ -27,6 +28,7 @@
 KEEP_S = 75.0
 DEFAULT_CAPACITY = web_limits.Capacity()
 MAX_LOGGED_PATH = 200
+_BODY_SIZE = "chervilcove.body_size"  # key of the environment of a request
 _REASON_PHRASES = {
     200: "OK",
     202: "Accepted",
@@ -94,6 +96,7 @@
         metrics: Receiver of counters of refused clients, None for none.
         listener: Listening socket to accept connections from instead of a
             new one at `host` and `port`; the server closes it.
+        traffic: Counts the bytes of the requests, None for nothing.
     """
 
     def __init__(
@@ -106,7 +109,9 @@
         capacity: web_limits.Capacity = DEFAULT_CAPACITY,
         metrics: metric_values.Metrics | None = None,
         listener: socket.socket | None = None,
+        traffic: traffic_values.Traffic | None = None,
     ):
+        self._traffic = traffic
         self._log = logs.Log(source="web")
         self._routes: list[tuple[str, re.Pattern[str], Handler]] = []
         self._table = web_connections.ConnectionTable(
@@ -224,6 +229,12 @@
                 "the handler of this request raised an exception",
             )
         response = _build_response(outcome)
+        if self._traffic is not None:
+            self._traffic.record_served(
+                self.name,
+                sent=len(response.body),
+                received=environ.get(_BODY_SIZE, 0),
+            )
         headers = [
             ("Content-Type", response.content_type),
             ("Content-Length", str(len(response.body))),
@@ -239,6 +250,7 @@
         body = self._read_body(environ)
         if errors.is_refusal(body):
             return body
+        environ[_BODY_SIZE] = len(body)
         connection = environ["wsgi.input"].connection
         if not self._table.begin_call(connection):
             self._table.release(connection)
--- a/chervilcove/platform/core.py
+++ b/chervilcove/platform/core.py
@@ -18,6 +18,7 @@
 from chervilcove.core import http
 from chervilcove.core import logs
 from chervilcove.core import metrics as metric_values
+from chervilcove.core import traffic as traffic_values
 from chervilcove.core import web
 from chervilcove.core import web_limits
 from chervilcove.dispatch import capacity
@@ -53,9 +54,17 @@
         peer: Client of the store.
         policy_address: Address of the placement policy service, empty if there
             is none.
+        traffic: Counts what the entry sends and receives.
     """
 
-    def __init__(self, *, peer: http.HttpPeer, policy_address: str):
+    def __init__(
+        self,
+        *,
+        peer: http.HttpPeer,
+        policy_address: str,
+        traffic: traffic_values.Traffic,
+    ):
+        self._traffic = traffic
         self._peer = peer
         self._policy_address = policy_address
 
@@ -63,14 +72,15 @@
         self, report: interfaces.WorkerReport
     ) -> interfaces.WorkerClient:
         """Return a client of one minion."""
-        return minion_client.MinionClient(report=report)
+        return minion_client.MinionClient(report=report, traffic=self._traffic)
 
     def connect_policy(self) -> interfaces.PlacementPolicy | None:
         """Return a client of the policy service, None if there is none."""
         if not self._policy_address:
             return None
         return policy_client.PolicyClient(
-            address=store.parse_address(self._policy_address)
+            address=store.parse_address(self._policy_address),
+            traffic=self._traffic,
         )
 
     def create_worker_feed(
@@ -95,26 +105,34 @@
     """
     metrics = metric_values.Metrics(**settings["statsd"])
     fleet = settings["fleet"]
-    peer = store.create_peer(store.parse_address(fleet["ledger"]))
-    operator_server = _create_server("metrics", fleet, metrics)
+    traffic = traffic_values.Traffic(metrics=metrics)
+    peer = store.create_peer(
+        store.parse_address(fleet["ledger"]), traffic=traffic
+    )
+    operator_server = _create_server("metrics", fleet, metrics, traffic)
     entry = control.FleetEntry(
         name=settings["entry"]["name"],
         ledger=store.KeyedTopic(peer=peer, topic=LEDGER_TOPIC),
         connector=HttpPlatformConnector(
-            peer=peer, policy_address=fleet["policy"]
+            peer=peer, policy_address=fleet["policy"], traffic=traffic
         ),
         create_operator_feed=lambda on_change: feeds.OperatorFeed(
             topic=store.KeyedTopic(peer=peer, topic=OPERATOR_TOPIC),
             on_change=on_change,
         ),
-        caller_server=_create_server("front", fleet, metrics, listener),
-        health_server=_create_server("ready", fleet, metrics),
+        caller_server=_create_server(
+            "front", fleet, metrics, traffic, listener
+        ),
+        health_server=_create_server("ready", fleet, metrics, traffic),
         operator_server=operator_server,
         peer_server=(
-            _create_server("peers", fleet, metrics) if fleet["peers"] else None
+            _create_server("peers", fleet, metrics, traffic)
+            if fleet["peers"]
+            else None
         ),
         values=_build_values(settings),
         metrics=metrics,
+        traffic=traffic,
     )
     callers.JobRoutes(server=entry.caller_server, job_api=entry.job_api)
     operators.ExplainRoute(explainer=entry.explainer).add_to(operator_server)
@@ -231,6 +249,7 @@
     name: str,
     fleet: global_settings.Fleet,
     metrics: metric_values.Metrics,
+    traffic: traffic_values.Traffic,
     listener: socket.socket | None = None,
 ) -> web.WebServer:
     host, port = store.parse_address(fleet[name])
@@ -245,4 +264,5 @@
         capacity=_compute_capacity(name, fleet),
         metrics=metrics,
         listener=listener,
+        traffic=traffic,
     )
--- a/chervilcove/platform/minion_client.py
+++ b/chervilcove/platform/minion_client.py
@@ -8,6 +8,7 @@
 from chervilcove.control import interfaces
 from chervilcove.core import errors
 from chervilcove.core import http
+from chervilcove.core import traffic as traffic_values
 from chervilcove.platform import fields
 from chervilcove.platform import store
 
@@ -22,6 +23,13 @@
     "room": errors.Kind.QUEUE_FULL,
     "ticket": errors.Kind.GONE,
 }
+# Names of the calls in the counters of traffic.
+_CALL_NAMES = {
+    "/run-start": "worker_start",
+    "/run-stop": "worker_stop",
+    "/pace": "worker_pace",
+    "/hold": "worker_renewal",
+}
 
 
 class _CommandResponse(msgspec.Struct):
@@ -73,14 +81,21 @@
 
     Args:
         report: Newest report of the minion about itself.
+        traffic: Counts the bytes of the calls, None for nothing.
     """
 
-    def __init__(self, *, report: interfaces.WorkerReport):
+    def __init__(
+        self,
+        *,
+        report: interfaces.WorkerReport,
+        traffic: traffic_values.Traffic | None = None,
+    ):
         self._peer = http.HttpPeer(
             host=report.host,
             port=report.port,
             connections=CONNECTIONS,
             connect_timeout_s=CONNECT_TIMEOUT_S,
+            traffic=traffic,
         )
         self._headers = {
             "Content-Type": "application/json",
@@ -165,6 +180,7 @@
             body=msgspec.json.encode(body),
             headers=self._headers,
             timeout_s=timeout_s,
+            name=_CALL_NAMES[path],
         )
         if errors.is_refusal(reply):
             self._peer.drop_idle()
--- a/chervilcove/platform/policy_client.py
+++ b/chervilcove/platform/policy_client.py
@@ -7,6 +7,7 @@
 from chervilcove.control import interfaces
 from chervilcove.core import errors
 from chervilcove.core import http
+from chervilcove.core import traffic as traffic_values
 from chervilcove.platform import fields
 from chervilcove.platform import store
 
@@ -31,14 +32,21 @@
 
     Args:
         address: Address of the service.
+        traffic: Counts the bytes of the calls, None for nothing.
     """
 
-    def __init__(self, *, address: store.Address):
+    def __init__(
+        self,
+        *,
+        address: store.Address,
+        traffic: traffic_values.Traffic | None = None,
+    ):
         self._peer = http.HttpPeer(
             host=address.host,
             port=address.port,
             connections=CONNECTIONS,
             connect_timeout_s=CONNECT_TIMEOUT_S,
+            traffic=traffic,
         )
 
     def request_grants(
@@ -51,6 +59,7 @@
             body=msgspec.json.encode({"step": step, "workers": workers}),
             headers={"Content-Type": "application/json"},
             timeout_s=timeout_s,
+            name="policy",
         )
         if errors.is_refusal(reply):
             self._peer.drop_idle()
--- a/chervilcove/platform/store.py
+++ b/chervilcove/platform/store.py
@@ -14,6 +14,7 @@
 from chervilcove.control import readers
 from chervilcove.core import errors
 from chervilcove.core import http
+from chervilcove.core import traffic as traffic_values
 from chervilcove.platform import snapshots
 
 CONNECTIONS = 12  # long polls of three topics, and tries of appends
@@ -63,7 +64,9 @@
     return Address(host, port)
 
 
-def create_peer(address: Address) -> http.HttpPeer:
+def create_peer(
+    address: Address, *, traffic: traffic_values.Traffic | None = None
+) -> http.HttpPeer:
     """Return a client of the store at `address`."""
     return http.HttpPeer(
         host=address.host,
@@ -71,6 +74,7 @@
         connections=CONNECTIONS,
         connect_timeout_s=CONNECT_TIMEOUT_S,
         max_idle_s=10.0,
+        traffic=traffic,
     )
 
 
@@ -85,6 +89,7 @@
     def __init__(self, *, peer: http.HttpPeer, topic: str):
         self._peer = peer
         self._topic = topic
+        self._call_prefix = topic.removeprefix("keyed.") + "_"
         self._snapshots = snapshots.SnapshotReader(
             topic=topic,
             get_page=self._get_page,
@@ -188,6 +193,7 @@
             headers={"Content-Type": "application/octet-stream"},
             timeout_s=timeout_s,
             limit_s=limit_s,
+            name=self._call_prefix + path.removeprefix("/log-"),
         )
         if not errors.is_refusal(reply):
             return reply
