Showed that an owner fills its own link and takes it for silence.

Three entries behind links of 60 kB a second, 60 workers, 300 tasks within 2.5 s. Listed in KNOWN-RED.txt until the fix.

--- /dev/null
+++ b/tests/control/test_narrow_links.py
@@ -0,0 +1,141 @@
+"""Tests of an owner whose link carries less than its work asks for."""
+
+import time
+
+import gevent
+import pytest
+
+from chervilcove.jobs import records
+from chervilcove.jobs import specs
+from tests.control import narrow_links
+from tests.control import system as systems
+
+WORKERS = 60
+LINK_BYTES_PER_S = 60_000
+PAYLOAD = "p" * 1_500
+TASK_S = 1.0
+TASKS_PER_JOB = 10
+JOBS_PER_S = 12
+BURST_S = 2.5
+# The messages of the burst's work need half of this time, beside renewals.
+RECOVERY_S = 40.0
+
+KNOWN_RED = pytest.mark.xfail(strict=True, reason="KNOWN-RED.txt, issue 53")
+
+
+class NarrowSystem(systems.System):
+    """Three entries, each behind a link of its own."""
+
+    def __init__(self):
+        super().__init__(workers=WORKERS)
+        for worker in self.fleet.workers.values():
+            worker.lease_limit_ms = 6_000
+            worker.stop_delay_s = 0.2
+        self.given_up = set()
+        for name in ("e1", "e2", "e3"):
+            link = narrow_links.Link(bytes_per_s=LINK_BYTES_PER_S)
+            self.add_entry(
+                name,
+                ledger=narrow_links.LinkedLedger(ledger=self.ledger, link=link),
+                connector=narrow_links.LinkedFleet(fleet=self.fleet, link=link),
+            )
+        self._greenlets = [
+            gevent.spawn(self._end_tasks),
+            gevent.spawn(self._watch_sessions),
+        ]
+
+    def stop(self):
+        gevent.killall(self._greenlets)
+        self.kill_all()
+
+    def list_claims(self):
+        return [
+            records.decode(one.key, one.value).value.entry
+            for one in self.ledger.records
+            if one.key == records.build_key(records.Kind.CLAIM)
+        ]
+
+    def find_owner_entry(self):
+        return next((one for one in self.entries if one._owner), None)
+
+    def are_runs_known(self):
+        entry = self.find_owner_entry()
+        if entry is None:
+            return False
+        sessions = entry._owner.fleet.sessions.values()
+        return len(sessions) == WORKERS and all(
+            one.are_runs_known for one in sessions
+        )
+
+    def is_done(self, job):
+        entry = self.find_owner_entry()
+        found = entry and entry._follower.table.jobs.get(job)
+        return bool(found and found.end)
+
+    def _end_tasks(self):
+        while True:
+            for worker in self.fleet.workers.values():
+                for task in list(worker.running):
+                    if time.monotonic() - worker._started_at[task] > TASK_S:
+                        worker.end(task, "done")
+            gevent.sleep(0.02)
+
+    def _watch_sessions(self):
+        while True:
+            for entry in self.entries:
+                for session in list(
+                    entry._owner.fleet.sessions.values() if entry._owner else ()
+                ):
+                    if session._is_unreachable:
+                        self.given_up.add(session.report.id)
+            gevent.sleep(0.02)
+
+
+@pytest.fixture
+def narrow_system():
+    system = NarrowSystem()
+    yield system
+    system.stop()
+
+
+def build_spec(count):
+    step = specs.Step(
+        count=count, need=specs.Resources(4_000, 1_024, 1), estimate_ms=1_000
+    )
+    return specs.JobSpec(PAYLOAD, (step,))
+
+
+class TestBursts:
+    # The owner filled its own link, took the silence that followed for that of
+    # its workers, and what it then repeated kept the link full.
+    @KNOWN_RED
+    @pytest.mark.timeout(240)
+    def test_a_burst_beyond_the_link_is_worked_off(self, narrow_system):
+        systems.wait_until(narrow_system.are_runs_known)
+        claims = narrow_system.list_claims()
+        submitting = narrow_system.entries[0]
+        jobs = [f"{number:016x}" for number in range(int(JOBS_PER_S * BURST_S))]
+        for job in jobs:
+            gevent.spawn(
+                narrow_system.submit, submitting, job, build_spec(TASKS_PER_JOB)
+            )
+            gevent.sleep(1 / JOBS_PER_S)
+        ended = time.monotonic()
+        accepted = set()
+        while time.monotonic() - ended < RECOVERY_S:
+            accepted = {
+                one.key[2:]
+                for one in narrow_system.ledger.records
+                if one.key.startswith("j/")
+            }
+            if all(narrow_system.is_done(job) for job in accepted):
+                break
+            gevent.sleep(0.1)
+        starts = narrow_system.list_starts()
+        left = [job for job in accepted if not narrow_system.is_done(job)]
+        assert narrow_system.list_claims() == claims
+        assert narrow_system.given_up == set()
+        assert accepted
+        assert left == []
+        assert narrow_system.list_overlaps() == []
+        assert len(starts) == TASKS_PER_JOB * len(accepted)
