Gave calls to workers more time when most of them answer late.

Callers saw work broken off and done again: an owner whose link was full took the silence of all its workers for their own. They had 0.4 s for a connection and 0.5 to 0.7 s for an answer; a worker without an answer gets no lease, and what was given up was sent again over the same link.

AnswerTimes keeps the newest delay of each worker. If most are late at the same time, the cause is the entry's own link or processor, and calls get up to 2 s more. No run is taken for lost later by that: a worker without an answer gets no lease meanwhile, and leases end as before. With silence of up to half of the workers, as behind a cut, nothing changes.

TestSlowLinks failed before (twelve workers behind a delay of 1 s, never reachable within 20 s).

--- a/chervilcove/control/commands.py
+++ b/chervilcove/control/commands.py
@@ -17,6 +17,8 @@
 
 START_TIMEOUT_S = 0.5  # workers answer in milliseconds
 START_TRIES = 4  # tries fit into the 3 s within which a gang must start
+# The same for tries that get more time, as answers come late.
+START_PERIOD_S = 2.4
 START_RETRY_S = 0.1  # pause after a failed connection
 # A new owner may start hundreds of runs at once; without this limit the first
 # connections time out while the others are opened.
@@ -87,7 +89,10 @@
         run.
         """
         refusal = None
+        began = None
         for count in range(START_TRIES):
+            if began and time.monotonic() - began > START_PERIOD_S:
+                break
             with self._start_slots:
                 session = self._fleet.sessions.get(member.place.worker)
                 if session is None or run.stop_reason:
@@ -107,8 +112,12 @@
                         "the ledger has not heard the owner for too long",
                     )
                     break
+                asked = time.monotonic()
+                began = began or asked
                 outcome = self._call_start(session, call, payload, run, member)
                 session.lease_sent_at = time.monotonic()
+                delay_s = time.monotonic() - asked
+                self._fleet.answer_times.record(member.place.worker, delay_s)
             if not errors.is_refusal(outcome):
                 if call.fence != session.fence:
                     # It may be of the process that was noticed meanwhile.
@@ -186,7 +195,7 @@
                 run.resumes_from,
                 run.tickets.get(member.place.worker, ""),
             ),
-            timeout_s=START_TIMEOUT_S,
+            timeout_s=self._fleet.answer_times.extend(START_TIMEOUT_S),
         )
 
     def stop(
@@ -230,9 +239,13 @@
             if session is None:
                 break
             call = session.begin_call()
+            asked = time.monotonic()
             outcome = session.client.stop(
                 interfaces.RunCommand(member.task, run.number, call.fence),
-                timeout_s=STOP_TIMEOUT_S,
+                timeout_s=self._fleet.answer_times.extend(STOP_TIMEOUT_S),
+            )
+            self._fleet.answer_times.record(
+                member.place.worker, time.monotonic() - asked
             )
             if not errors.is_refusal(outcome):
                 session.record_answer(call, outcome)
@@ -266,7 +279,7 @@
         outcome = session.client.set_pace(
             interfaces.RunCommand(member.task, run.number, call.fence),
             percent,
-            timeout_s=PACE_TIMEOUT_S,
+            timeout_s=self._fleet.answer_times.extend(PACE_TIMEOUT_S),
         )
         if not errors.is_refusal(outcome):
             session.record_answer(call, outcome)
@@ -288,7 +301,7 @@
     ) -> None:
         session.client.stop(
             interfaces.RunCommand(task, number, session.fence),
-            timeout_s=STOP_TIMEOUT_S,
+            timeout_s=self._fleet.answer_times.extend(STOP_TIMEOUT_S),
         )
 
     def _spawn(self, function: Callable, *arguments: object) -> None:
--- a/chervilcove/control/fleet.py
+++ b/chervilcove/control/fleet.py
@@ -12,6 +12,7 @@
 
 import gevent
 
+from chervilcove.control import answer_times
 from chervilcove.control import fences
 from chervilcove.control import interfaces
 from chervilcove.control import runs
@@ -57,6 +58,7 @@
     ):
         self.resources = resource_values.FleetResources()
         self.health = health.WorkerHealth()
+        self.answer_times = answer_times.AnswerTimes()
         self.sessions: dict[str, sessions.Session] = {}
         self.reports: dict[str, interfaces.WorkerReport] = {}
         # Earliest time at which each draining worker leaves, monotonic seconds.
@@ -342,6 +344,7 @@
             on_deposed=self._on_deposed,
             may_renew=self._may_renew,
             is_busy=self._is_busy,
+            answer_times=self.answer_times,
             delay_s=delay_s,
             lease_sent_at=lease_sent_at,
         )
--- a/chervilcove/control/sessions.py
+++ b/chervilcove/control/sessions.py
@@ -18,6 +18,7 @@
 
 from gevent import event
 
+from chervilcove.control import answer_times as answer_time_values
 from chervilcove.control import fences as fence_values
 from chervilcove.control import interfaces
 from chervilcove.control import writers
@@ -88,6 +89,7 @@
         on_deposed: Called with a reason when the worker knows a newer owner.
         may_renew: Tells whether leases may be extended now.
         is_busy: Tells whether the worker has runs of this owner.
+        answer_times: Answer times of all workers.
         delay_s: Seconds before the first renewal.
         lease_sent_at: Monotonic seconds until which leases may have been sent
             to the worker.
@@ -104,6 +106,7 @@
         on_deposed: Callable[[str], None],
         may_renew: Callable[[], bool],
         is_busy: Callable[[str], bool],
+        answer_times: answer_time_values.AnswerTimes,
         lease_sent_at: float,
         delay_s: float = 0.0,
     ):
@@ -129,6 +132,7 @@
         self._on_deposed = on_deposed
         self._may_renew = may_renew
         self._is_busy = is_busy
+        self._answer_times = answer_times
         # Monotonic seconds of this entry, and the worker's clock at that time
         # in milliseconds.
         self._clock: tuple[float, float] | None = None
@@ -296,8 +300,13 @@
             last_seen=0 if self._is_unreachable else self.last_seen,
             lease_until_ms=until_ms,
             wait_ms=wait_ms,
-            timeout_s=wait_ms / 1000 + ANSWER_TIMEOUT_S,
+            timeout_s=wait_ms / 1000
+            + self._answer_times.extend(ANSWER_TIMEOUT_S),
         )
+        delay_s = time.monotonic() - asked - wait_ms / 1000
+        if errors.is_refusal(outcome) or delay_s >= 0:
+            # An answer within the wait doesn't tell how long it took.
+            self._answer_times.record(self.report.id, delay_s)
         if until_ms:
             self.lease_sent_at = time.monotonic()
         if self.is_stopping:
--- a/chervilcove/core/http.py
+++ b/chervilcove/core/http.py
@@ -168,6 +168,10 @@
         """Close all idle connections and the pool."""
         self._pool.close()
 
+    def set_connect_timeout(self, timeout_s: float) -> None:
+        """Set the timeout of connection attempts from now on, in seconds."""
+        self._pool.connection_timeout = timeout_s
+
     def drop_idle(self) -> None:
         """Close all idle connections; later calls open new ones."""
         self._pool.drop_idle()
--- a/chervilcove/platform/minion_client.py
+++ b/chervilcove/platform/minion_client.py
@@ -14,6 +14,9 @@
 
 CONNECTIONS = 10  # one lease renewal and a burst of concurrent starts
 CONNECT_TIMEOUT_S = 0.4  # the network latency is milliseconds
+# Time that a call keeps for its answer; with more time than usual, the attempt
+# to connect may take the rest.
+ANSWER_TIME_S = 0.3
 MAX_LISTED_ENDS = 500  # that a minion returns at a time
 # Refusal kind for each reason with which a minion refuses a request.
 _KINDS_BY_REASON = {
@@ -149,7 +152,7 @@
         body = {"fence": fence, "last_seen": last_seen, "wait_ms": wait_ms}
         if lease_until_ms:
             body["deadline_ms"] = lease_until_ms
-        reply = self._call("/hold", body, timeout_s)
+        reply = self._call("/hold", body, timeout_s, wait_s=wait_ms / 1000)
         if errors.is_refusal(reply):
             return reply
         if reply.status != 200:
@@ -172,8 +175,16 @@
         return answer if errors.is_refusal(answer) else answer.clock_ms
 
     def _call(
-        self, path: str, body: dict[str, Any], timeout_s: float
+        self,
+        path: str,
+        body: dict[str, Any],
+        timeout_s: float,
+        *,
+        wait_s: float = 0.0,
     ) -> http.Reply | errors.Refusal:
+        self._peer.set_connect_timeout(
+            max(CONNECT_TIMEOUT_S, timeout_s - wait_s - ANSWER_TIME_S)
+        )
         reply = self._peer.call(
             "POST",
             path,
--- a/tests/control/narrow_links.py
+++ b/tests/control/narrow_links.py
@@ -35,8 +35,9 @@
         sent: Bytes sent so far.
     """
 
-    def __init__(self, *, bytes_per_s):
+    def __init__(self, *, bytes_per_s, latency_s=0.0):
         self._bytes_per_s = bytes_per_s
+        self._latency_s = latency_s  # each way
         self._free_at = {"up": 0.0, "down": 0.0}
         self.sent = 0
 
@@ -46,7 +47,8 @@
             self.sent += size + PACKETS
         began = max(time.monotonic(), self._free_at[direction])
         self._free_at[direction] = began + (size + PACKETS) / self._bytes_per_s
-        gevent.sleep(max(0.0, self._free_at[direction] - time.monotonic()))
+        wait_s = self._free_at[direction] - time.monotonic()
+        gevent.sleep(max(0.0, wait_s) + self._latency_s)
 
     def call(
         self,
--- /dev/null
+++ b/tests/control/test_answer_times.py
@@ -0,0 +1,69 @@
+"""Tests of how the owner tells a slow link from silent workers."""
+
+import time
+
+import pytest
+
+from chervilcove.control import answer_times
+from tests.control import narrow_links
+from tests.control import system as systems
+
+WORKERS = 12
+
+
+class TestAnswerTimes:
+    @pytest.fixture
+    def times(self):
+        return answer_times.AnswerTimes()
+
+    def test_late_answers_of_most_workers_give_calls_more_time(self, times):
+        for number in range(WORKERS):
+            times.record(f"w{number}", 0.3 if number < 7 else 0.002)
+        assert times.get_typical_s() == 0.3
+        assert 1.4 < times.extend(0.5) <= 2.5
+
+    def test_silence_of_a_third_of_the_workers_is_their_own(self, times):
+        for number in range(WORKERS):
+            times.record(f"w{number}", 0.7 if number < 4 else 0.002)
+        assert times.extend(0.5) == 0.5
+
+    def test_few_workers_tell_nothing(self, times):
+        for number in range(answer_times.MIN_WORKERS - 1):
+            times.record(f"w{number}", 0.7)
+        assert times.extend(0.5) == 0.5
+
+    def test_old_answers_do_not_count(self, times, monkeypatch):
+        for number in range(WORKERS):
+            times.record(f"w{number}", 0.7)
+        now = time.monotonic()
+        monkeypatch.setattr(time, "monotonic", lambda: now + 10.0)
+        assert times.extend(0.5) == 0.5
+
+
+class TestSlowLinks:
+    # A worker got no lease before it answered within 0.7 s, so on a link with a
+    # longer delay all of them counted as lost for good.
+    def test_workers_behind_a_slow_link_get_their_leases(self):
+        system = systems.System(workers=WORKERS)
+        link = narrow_links.Link(bytes_per_s=1_000_000, latency_s=0.5)
+        entry = system.add_entry(
+            "e1",
+            connector=narrow_links.LinkedFleet(fleet=system.fleet, link=link),
+        )
+        systems.wait_until(
+            lambda: (
+                entry._owner
+                and len(entry._owner.fleet.sessions) == WORKERS
+                and all(
+                    session.are_runs_known
+                    for session in entry._owner.fleet.sessions.values()
+                )
+            )
+        )
+        systems.wait_until(
+            lambda: all(
+                worker.lease_until_ms > worker.read_clock_ms()
+                for worker in system.fleet.workers.values()
+            )
+        )
+        system.kill_all()
