Let entries with a small link become the owner after the others.

The settings have the rate of the link (limits.link_mbps); an entry that the traffic of the known fleet would fill claims after the others. Nothing else depends on it, and without the setting nothing changes.

test_entries_with_a_small_link_claim_after_the_others can't run before, as entries knew no link. Not shown to be what the users saw.

--- a/chervilcove/conf/global_settings.py
+++ b/chervilcove/conf/global_settings.py
@@ -230,6 +230,16 @@
             " that the entry can own.",
         ),
     ]
+    link_mbps: Annotated[
+        float,
+        msgspec.Meta(
+            ge=0,
+            le=16_777_216,
+            description="Rate of the machine's link, Mbit/s; 0 if unknown."
+            " Entries whose link is too small for the fleet become the owner"
+            " last.",
+        ),
+    ]
 
 
 class Settings(TypedDict):
@@ -283,6 +293,7 @@
         "processor_speed": 1.0,
         "memory_mb": 0,
         "max_fds": 0,
+        "link_mbps": 0.0,
     },
     "log_level": "INFO",
 }
--- a/chervilcove/control/elections.py
+++ b/chervilcove/control/elections.py
@@ -68,13 +68,14 @@
     """Return how long an entry waits before its claim.
 
     Args:
-        rank: Fraction from 0 to 1 that differs between the entries; above 1
-            for entries that can't own the fleet.
+        rank: Fraction from 0 to 1 that differs between the entries; up to 2
+            for entries with a small link, above for those that can't own the
+            fleet.
         entries: Number of entries that may claim.
         answer_s: Time in which the ledger answered just now, seconds.
     """
     spread_s = CLAIM_SPREAD_FACTOR * entries * answer_s
-    least_s = UNFIT_DELAY_S if rank > 1.0 else 0.0
+    least_s = UNFIT_DELAY_S if rank >= capacity.UNFIT_RANK else 0.0
     return least_s + rank * max(MIN_CLAIM_SPREAD_S, spread_s)
 
 
@@ -270,7 +271,7 @@
             entries=len(self._follower.table.incarnations),
             answer_s=answer_s,
         )
-        if rank > 1.0:
+        if rank >= capacity.UNFIT_RANK:
             self.log.warn(
                 "claim_delayed",
                 workers=workers,
--- a/chervilcove/dispatch/capacity.py
+++ b/chervilcove/dispatch/capacity.py
@@ -6,6 +6,9 @@
 size. So entries that can't own the fleet claim later than those that can. If
 none can, the largest one claims, and opens only as many sessions as it can
 hold: first those with workers that run something.
+
+A link that is too small ends nothing: its owner starts work more slowly
+(`control/start_window.py`). Entries with such a link claim after the others.
 """
 
 from collections.abc import Iterable
@@ -28,8 +31,13 @@
 # Peaks of 21.4 MB with 24 workers and 28.5 MB with 176 (docs/CAPACITY.md).
 # Other causes of the difference count as the workers'.
 MEMORY_MB_PER_WORKER = (28.5 - 21.4) / (176 - 24)
+# Traffic of the busiest owner: 232 kB a second with 299 workers, 644 with 999.
+KB_PER_S_PER_WORKER = (644 - 232) / (999 - 299)
+BASE_KB_PER_S = 232 - 299 * KB_PER_S_PER_WORKER
+LINK_HEADROOM = 1.5  # beside what was measured, for callers and snapshots
 # Entries that can't own the fleet claim in as many groups, the largest first.
 SIZE_GROUPS = 4
+UNFIT_RANK = 2.0  # least rank of an entry that can't own the fleet
 
 
 class EntryLimits(NamedTuple):
@@ -38,10 +46,12 @@
     Attributes:
         max_fds: File descriptors that its process may open.
         memory_mb: Megabytes of memory that it may use.
+        link_mbps: Rate of its link in Mbit/s.
     """
 
     max_fds: int = 0
     memory_mb: int = 0
+    link_mbps: float = 0.0
 
 
 UNKNOWN_LIMITS = EntryLimits()
@@ -79,6 +89,12 @@
     return BASE_MEMORY_MB + workers * MEMORY_MB_PER_WORKER
 
 
+def compute_link_mbps(workers: int) -> float:
+    """Return the Mbit/s of a link that an owner of some workers needs."""
+    kb_per_s = BASE_KB_PER_S + workers * KB_PER_S_PER_WORKER
+    return kb_per_s * LINK_HEADROOM * 8 / 1_000
+
+
 def can_own(limits: EntryLimits, workers: int) -> bool:
     """Return whether an entry can own a fleet of some workers."""
     if limits.max_fds and compute_descriptors(workers) > limits.max_fds:
@@ -119,14 +135,16 @@
         workers: Number of workers, 0 if unknown.
 
     Returns:
-        `rank` if the entry can own the fleet. Else a rank of 2 or more, by
-        groups of what part of the fleet it can own.
+        `rank` if the entry can own the fleet; 1 more if its link is too small
+        for that. Else a rank of 2 or more, by groups of what part of the fleet
+        it can own.
     """
     if can_own(limits, workers):
-        return rank
+        is_narrow = 0 < limits.link_mbps < compute_link_mbps(workers)
+        return rank + 1.0 if is_narrow else rank
     share = min(1.0, (count_ownable_workers(limits) or workers) / workers)
     group = math.floor((1.0 - share) * SIZE_GROUPS)
-    return 2.0 + min(group, SIZE_GROUPS - 1) + rank
+    return UNFIT_RANK + min(group, SIZE_GROUPS - 1) + rank
 
 
 def choose_workers(candidates: Iterable[Candidate], limit: int) -> set[str]:
--- a/chervilcove/platform/core.py
+++ b/chervilcove/platform/core.py
@@ -227,7 +227,9 @@
             holds_lowest_starts=fleet["holds_lowest_starts"],
             orders_by_share=fleet["orders_by_share"],
         ),
-        limits=capacity.EntryLimits(fleet["max_fds"], fleet["memory_mb"]),
+        limits=capacity.EntryLimits(
+            fleet["max_fds"], fleet["memory_mb"], fleet["link_mbps"]
+        ),
         processors=fleet["processor_share"] * fleet["processor_speed"],
         drain_s=settings["entry"]["drain_s"],
     )
--- a/chervilcove/platform/settings_watcher.py
+++ b/chervilcove/platform/settings_watcher.py
@@ -51,6 +51,7 @@
         "fleet.processor_speed",
         "fleet.memory_mb",
         "fleet.max_fds",
+        "fleet.link_mbps",
     }
 )
 
--- a/tests/dispatch/test_capacity.py
+++ b/tests/dispatch/test_capacity.py
@@ -56,6 +56,20 @@
         for (_, last), (first, _) in zip(ranks[1:], ranks[2:], strict=False):
             assert first >= last
 
+    # Only processors counted, so an entry could own a fleet whose traffic fills
+    # its link, beside others with larger ones.
+    def test_entries_with_a_small_link_claim_after_the_others(self):
+        small = capacity.EntryLimits(65_536, 10_000, link_mbps=5.0)
+        for workers, is_narrow in ((24, False), (176, False), (3_000, True)):
+            rank = capacity.compute_claim_rank(0.25, small, workers)
+            assert rank == (1.25 if is_narrow else 0.25)
+            wide = small._replace(link_mbps=200.0)
+            assert capacity.compute_claim_rank(0.25, wide, workers) == 0.25
+
+    def test_a_link_of_unknown_rate_counts_as_large(self):
+        limits = capacity.EntryLimits(65_536, 10_000)
+        assert capacity.compute_claim_rank(0.25, limits, 3_000) == 0.25
+
 
 class TestChosenWorkers:
     def test_sessions_are_opened_in_the_order_of_need(self):
