Read on while appended records keep arriving.

Callers would meet an entry that refuses calls for good (state_behind): a read of appended records had 1.9 s for its whole answer, of up to 1 MB. Answers are now read on while bytes arrive, for 10 s at most, and hold 512 kB at most. A store that is silent is given up after the same time as before; GETs of unknown jobs wait no longer than before.

test_records_that_arrive_slowly_are_read failed before (run without the change).

--- a/chervilcove/control/follower.py
+++ b/chervilcove/control/follower.py
@@ -145,9 +145,13 @@
             Whether they were applied within `timeout_s`.
         """
         deadline = time.monotonic() + timeout_s
-        chunk = self._topic.read(
-            self.next_offset, wait_s=0.0, timeout_s=timeout_s
-        )
+        chunk = None
+        with gevent.Timeout(timeout_s, False):
+            chunk = self._topic.read(
+                self.next_offset, wait_s=0.0, timeout_s=timeout_s
+            )
+        if chunk is None:
+            return False
         if errors.is_refusal(chunk):
             return chunk.kind is errors.Kind.GONE and self._wait_for(
                 self.next_offset + 1, deadline
--- a/chervilcove/platform/store.py
+++ b/chervilcove/platform/store.py
@@ -21,7 +21,10 @@
 # A store that drops connection requests instead of refusing them would block
 # until the timeout.
 CONNECT_TIMEOUT_S = 0.6
-MAX_READ_KB = 1024  # as the default of the store
+MAX_READ_KB = 512  # twice the largest record
+# Longest time of a read whose bytes keep arriving. The store keeps records for
+# twice as long or more.
+READ_LIMIT_S = 10.0
 OWNER_PRODUCER = "owner"
 PARTITION = 0
 
@@ -132,7 +135,16 @@
     def read(
         self, offset: int, *, wait_s: float, timeout_s: float
     ) -> interfaces.Chunk | errors.Refusal:
-        """Return the records from `offset`; wait up to `wait_s` for one."""
+        """Return the records from `offset`; wait up to `wait_s` for one.
+
+        An entry that fell behind reads much at once, and a small link takes
+        seconds for it.
+
+        Args:
+            offset: Offset of the first record.
+            wait_s: Longest time that the store waits for a record, in seconds.
+            timeout_s: Longest time without a byte of the answer, in seconds.
+        """
         query = {
             "topic": self._topic,
             "part": PARTITION,
@@ -140,7 +152,13 @@
             "max_kb": MAX_READ_KB,
             "wait_ms": int(wait_s * 1000),
         }
-        reply = self._call("GET", "/log-read", query, timeout_s=timeout_s)
+        reply = self._call(
+            "GET",
+            "/log-read",
+            query,
+            timeout_s=timeout_s,
+            limit_s=max(READ_LIMIT_S, timeout_s),
+        )
         if errors.is_refusal(reply):
             return reply
         if reply.status == 410:
--- a/tests/platform/test_snapshots.py
+++ b/tests/platform/test_snapshots.py
@@ -2,6 +2,7 @@
 
 import base64
 import json
+import time
 from urllib import parse
 
 import gevent
@@ -111,6 +112,24 @@
     made.stop()
 
 
+class TestAppendedRecords:
+    # An entry behind a small link never became current again: what it missed
+    # took longer to arrive than one read might take, and was read from its
+    # beginning again.
+    def test_records_that_arrive_slowly_are_read(self, page_server):
+        page_server.piece_pause_s = TIMEOUT_S / 4
+        chunk = page_server.topic.read(0, wait_s=0.0, timeout_s=TIMEOUT_S)
+        assert not errors.is_refusal(chunk)
+        assert len(chunk.records) == PAGES * PER_PAGE
+
+    def test_a_store_that_stops_within_an_answer_is_given_up(self, page_server):
+        page_server.piece_pause_s = 5 * TIMEOUT_S
+        began = time.monotonic()
+        chunk = page_server.topic.read(0, wait_s=0.0, timeout_s=TIMEOUT_S)
+        assert chunk.kind is errors.Kind.OUTCOME_UNKNOWN
+        assert time.monotonic() - began < 4 * TIMEOUT_S
+
+
 class TestSnapshots:
     def test_page_that_arrives_slowly_is_read(self, page_server):
         # Pages that take longer than the time-out were given up and read again
