Kept appends small enough to pass a small link in time.

An append that its link doesn't carry within 1.2 s was given up and sent again without end, and from 0.08 s on beside the tries before it, up to five at a time: the owner stored nothing more, and no heartbeat. A batch held up to 1 MB; now 32 kB, and an append is sent again later by the time that its bytes take at 0.5 Mbit/s.

--- a/chervilcove/control/owner_writer.py
+++ b/chervilcove/control/owner_writer.py
@@ -28,6 +28,9 @@
 # An append is sent again after this time, or after the multiple of the usual
 # time of an answer, if that is longer: a slow ledger isn't slowed down further.
 MIN_RESEND_S = 0.08
+# Added to that time for the bytes of the append, at 0.5 Mbit/s. Sent again before
+# it has passed the link, an append delays itself.
+RESEND_BYTES_PER_S = 62_500
 TYPICAL_TIME_FACTOR = 4.0
 DELAYED_S = 0.5  # appends that take longer are logged
 # Most unanswered tries of one append at a time; each has a connection.
@@ -223,9 +226,11 @@
         )
         self._is_read_back.clear()
         failures: collections.Counter[str] = collections.Counter()
+        size = sum(len(key) + len(value) for key, value in items)
+        least_s = MIN_RESEND_S + size / RESEND_BYTES_PER_S
         try:
             while not self.is_stopping:
-                outcome = self._try_once(tries)
+                outcome = self._try_once(tries, least_s)
                 if not errors.is_refusal(outcome):
                     self._sequence += 1
                     self.stored_append_sent_at = first_sent
@@ -257,9 +262,15 @@
         finally:
             tries.end()
 
-    def _try_once(self, tries: "_Tries") -> int | None | errors.Refusal:
+    def _try_once(
+        self, tries: "_Tries", least_s: float
+    ) -> int | None | errors.Refusal:
         """Send the append once more, and wait for an answer to any try.
 
+        Args:
+            tries: The tries so far.
+            least_s: Least time until the next try, in seconds.
+
         Returns:
             The answer; None if the records were read back; `OUTCOME_UNKNOWN`
             if it is time for the next try.
@@ -271,7 +282,7 @@
         answer = tries.wait(
             timeout_s=self._timeouts.get_resend_s(
                 tries.count,
-                least_s=MIN_RESEND_S,
+                least_s=least_s,
                 factor=TYPICAL_TIME_FACTOR,
             )
         )
--- a/chervilcove/control/writers.py
+++ b/chervilcove/control/writers.py
@@ -16,7 +16,9 @@
 from chervilcove.core import metrics as metric_values
 from chervilcove.core import tasks
 
-MAX_BATCH_BYTES = 1_000_000  # half of what the ledger accepts in one call
+# A batch that a link doesn't carry within MAX_APPEND_TIMEOUT_S would never be
+# stored. This one needs half a second at 0.5 Mbit/s.
+MAX_BATCH_BYTES = 32_000
 MAX_APPEND_TIMEOUT_S = 1.2  # bounds the wait for an answer that was lost
 # In the specified worst case the ledger is 80 times slower than usual and
 # answers in 0.32 s.
--- a/tests/control/test_narrow_links.py
+++ b/tests/control/test_narrow_links.py
@@ -5,8 +5,12 @@
 import gevent
 import pytest
 
+from chervilcove.control import clocks
+from chervilcove.control import owner_writer
+from chervilcove.core import metrics as metric_values
 from chervilcove.jobs import records
 from chervilcove.jobs import specs
+from chervilcove.standins import ledger as ledgers
 from tests.control import narrow_links
 from tests.control import system as systems
 
@@ -136,3 +140,29 @@
         assert left == []
         assert narrow_system.list_overlaps() == []
         assert len(starts) == TASKS_PER_JOB * len(accepted)
+
+
+class TestAppends:
+    # An append that took longer than 1.2 s was sent again and again, each time
+    # beside the tries before it, so that its owner stored nothing more.
+    def test_a_backlog_beyond_one_append_is_stored(self):
+        ledger = ledgers.MemoryLedger()
+        link = narrow_links.Link(bytes_per_s=LINK_BYTES_PER_S)
+        owner = owner_writer.OwnerWriter(
+            ledger=narrow_links.LinkedLedger(ledger=ledger, link=link),
+            claim_sent_at=0.0,
+            epoch=1,
+            clock=clocks.SharedClock(),
+            on_deposed=lambda reason: None,
+            metrics=metric_values.Metrics(),
+        )
+        size = 3 * LINK_BYTES_PER_S
+        for number in range(size // 200):
+            owner.enqueue(f"u/{number:06}", b"v" * 187)
+        owner.start()
+        try:
+            systems.wait_until(lambda: not owner.backlog)
+        finally:
+            owner.kill()
+        assert len({one.key for one in ledger.records}) >= size // 200
+        assert link.sent < 2 * size
