Left the time of rounds out of the delays of answers.

With 1,000 workers a round holds the process for 0.3 s, in which no answer is read.

test_a_round_is_no_delay_of_an_answer can't run before, as nothing counted the time of rounds.

--- a/chervilcove/control/answer_times.py
+++ b/chervilcove/control/answer_times.py
@@ -7,6 +7,7 @@
 """
 
 import time
+from typing import NamedTuple
 
 MIN_WORKERS = 8  # with fewer, nothing tells a common cause from a single one
 SAMPLE_AGE_S = 3.0  # older answers don't count
@@ -17,15 +18,45 @@
 REFRESH_S = 0.1  # between computations of the typical delay
 
 
+class CallStart(NamedTuple):
+    """When a call began.
+
+    Attributes:
+        at: Monotonic seconds.
+        held_s: Seconds for which rounds had held the process before.
+    """
+
+    at: float
+    held_s: float
+
+
 class AnswerTimes:
     """Keep the newest delay of each worker's answers."""
 
     def __init__(self):
+        self._held_s = 0.0
         # Monotonic seconds at which it was seen, and the delay, by worker.
         self._newest: dict[str, tuple[float, float]] = {}
         self._typical_s = 0.0
         self._computed_at = float("-inf")
 
+    def record_round(self, seconds: float) -> None:
+        """Record for how long a round held the process.
+
+        No answer is read meanwhile, so that time isn't a delay of answers. It
+        is 0.3 s with 1,000 workers.
+        """
+        self._held_s += seconds
+
+    def begin_call(self) -> CallStart:
+        """Return the start of a call that is sent now."""
+        return CallStart(time.monotonic(), self._held_s)
+
+    def measure(self, start: CallStart) -> float:
+        """Return the seconds since the start of a call, but for rounds."""
+        held_s = self._held_s - start.held_s
+        return time.monotonic() - start.at - held_s
+
     def record(self, worker: str, delay_s: float) -> None:
         """Record how late a worker answered, or for how long it did not.
 
--- a/chervilcove/control/commands.py
+++ b/chervilcove/control/commands.py
@@ -139,11 +139,11 @@
                         "the ledger has not heard the owner for too long",
                     )
                     break
-                asked = time.monotonic()
-                began = began or asked
+                began = began or time.monotonic()
+                started = self._fleet.answer_times.begin_call()
                 outcome = self._call_start(session, call, payload, run, member)
                 session.lease_sent_at = time.monotonic()
-                delay_s = time.monotonic() - asked
+                delay_s = self._fleet.answer_times.measure(started)
                 self._metrics.record_time("starts.answer", delay_s)
                 self._fleet.answer_times.record(member.place.worker, delay_s)
                 self._start_window.record(
@@ -272,13 +272,13 @@
             if session is None:
                 break
             call = session.begin_call()
-            asked = time.monotonic()
+            started = self._fleet.answer_times.begin_call()
             outcome = session.client.stop(
                 interfaces.RunCommand(member.task, run.number, call.fence),
                 timeout_s=self._fleet.answer_times.extend(STOP_TIMEOUT_S),
             )
             self._fleet.answer_times.record(
-                member.place.worker, time.monotonic() - asked
+                member.place.worker, self._fleet.answer_times.measure(started)
             )
             if not errors.is_refusal(outcome):
                 session.record_answer(call, outcome)
--- a/chervilcove/control/owner_writer.py
+++ b/chervilcove/control/owner_writer.py
@@ -28,8 +28,8 @@
 # An append is sent again after this time, or after the multiple of the usual
 # time of an answer, if that is longer: a slow ledger isn't slowed down further.
 MIN_RESEND_S = 0.08
-# Added to that time for the bytes of the append, at 0.5 Mbit/s. Sent again before
-# it has passed the link, an append delays itself.
+# Added to that time for the bytes of the append, at 0.5 Mbit/s. Sent again
+# before it has passed the link, an append delays itself.
 RESEND_BYTES_PER_S = 62_500
 TYPICAL_TIME_FACTOR = 4.0
 DELAYED_S = 0.5  # appends that take longer are logged
--- a/chervilcove/control/owners.py
+++ b/chervilcove/control/owners.py
@@ -273,7 +273,9 @@
             self._wake.clear()
             if self.is_stopping:
                 return
+            began = time.monotonic()
             self._run_round()
+            self.fleet.answer_times.record_round(time.monotonic() - began)
             gevent.sleep(MIN_ROUND_PAUSE_S)
 
     # Adopting the runs of earlier owners.
--- a/chervilcove/control/sessions.py
+++ b/chervilcove/control/sessions.py
@@ -292,6 +292,7 @@
         if until_ms:
             self.record_lease(until_ms)
         asked = time.monotonic()
+        started = self._answer_times.begin_call()
         call = self.begin_call()
         outcome = self.client.renew_lease(
             fence=call.fence,
@@ -303,7 +304,7 @@
             timeout_s=wait_ms / 1000
             + self._answer_times.extend(ANSWER_TIMEOUT_S),
         )
-        delay_s = time.monotonic() - asked - wait_ms / 1000
+        delay_s = self._answer_times.measure(started) - wait_ms / 1000
         if errors.is_refusal(outcome) or delay_s >= 0:
             # An answer within the wait doesn't tell how long it took.
             self._answer_times.record(self.report.id, delay_s)
--- a/tests/control/test_answer_times.py
+++ b/tests/control/test_answer_times.py
@@ -32,6 +32,16 @@
             times.record(f"w{number}", 0.7)
         assert times.extend(0.5) == 0.5
 
+    # With 1,000 workers each round held the process for 0.3 s, so that all
+    # answers seemed late, and hardly anything was started.
+    def test_a_round_is_no_delay_of_an_answer(self, times, monkeypatch):
+        now = time.monotonic()
+        monkeypatch.setattr(time, "monotonic", lambda: now)
+        started = times.begin_call()
+        monkeypatch.setattr(time, "monotonic", lambda: now + 0.32)
+        times.record_round(0.3)
+        assert times.measure(started) == pytest.approx(0.02)
+
     def test_old_answers_do_not_count(self, times, monkeypatch):
         for number in range(WORKERS):
             times.record(f"w{number}", 0.7)
