Freed the places of starts that were given up.

A start that got no answer held its place in the start window until its worker answered the stop that followed, or its lease had ended. The stop is now sent beside it. Rounds are asked for by answers to starts only if one had more to start than the window allowed: each answer asked for one.

--- a/chervilcove/control/commands.py
+++ b/chervilcove/control/commands.py
@@ -67,6 +67,8 @@
         self._start_slots = lock.BoundedSemaphore(MAX_CONCURRENT_STARTS)
         self._start_window = start_windows.StartWindow()
         self._starts_under_way = 0
+        # Whether a round had more to start than the window allowed.
+        self._is_window_full = False
         self._is_killed = False
 
     def kill(self) -> None:
@@ -89,6 +91,10 @@
         """
         return self._start_window.size - ordered - self._starts_under_way
 
+    def record_full_window(self) -> None:
+        """Request a round once more starts are allowed."""
+        self._is_window_full = True
+
     def send_starts(self, payload: str, run: runs.Run) -> None:
         """Start all tasks of a run whose record is already stored."""
         run.started = time.monotonic()
@@ -103,7 +109,9 @@
             self._send_start(payload, run, member)
         finally:
             self._starts_under_way -= 1
-            self._wake()
+            if self._is_window_full:
+                self._is_window_full = False
+                self._wake()
 
     def _send_start(
         self, payload: str, run: runs.Run, member: runs.Member
@@ -161,7 +169,7 @@
                     member.changed_at = time.monotonic()
                 session.wake()
                 if run.stop_reason:
-                    self._stop_member(run, member)
+                    self._spawn(self._stop_member, run, member)
                 return
             refusal = outcome
             self._metrics.count(f"starts.refused.{outcome.kind.value}")
@@ -208,7 +216,9 @@
                 member.place.worker, time.monotonic()
             )
         self.stop(run, "a start was abandoned")
-        self._stop_member(run, member)
+        # Until the worker answers, which may be never. The start itself holds
+        # no place in the window meanwhile.
+        self._spawn(self._stop_member, run, member)
 
     def _call_start(
         self,
--- a/chervilcove/control/owners.py
+++ b/chervilcove/control/owners.py
@@ -776,6 +776,7 @@
         allowed = self._commands.count_allowed_starts(self._ordered_tasks)
         if allowed <= 0:
             self._metrics.count("rounds.skipped.starts_under_way")
+            self._commands.record_full_window()
             return
         plan = self._planner.plan(operations)
         self._metrics.record_time("rounds", time.monotonic() - began)
@@ -792,7 +793,9 @@
             self._commands.stop(run, f"preempted by {stop.beneficiary}")
         for start in plan.starts:
             if allowed <= 0:
-                break  # the rest is planned again, in the order of need
+                # The rest is planned again, in the order of need.
+                self._commands.record_full_window()
+                break
             allowed -= len(start.workers)
             self._start_run(start)
 
--- a/tests/control/test_start_window.py
+++ b/tests/control/test_start_window.py
@@ -2,9 +2,16 @@
 
 import time
 
+import gevent
 import pytest
 
 from chervilcove.control import start_window
+from chervilcove.core import errors
+from chervilcove.jobs import specs
+from chervilcove.standins import fleet as fleets
+from tests.control import system as systems
+
+RECLAIM_S = 2.9  # within which a guaranteed job starts
 
 
 @pytest.fixture
@@ -60,3 +67,68 @@
         shrunk = window.size
         record(window, shrunk * 3, 0.003)
         assert shrunk < window.size < 3 * shrunk
+
+
+class SilentFleet(fleets.MemoryFleet):
+    """Fleet in which some workers answer nothing but renewals.
+
+    Attributes:
+        silent: Ids of these workers.
+    """
+
+    def __init__(self, *, count):
+        super().__init__(count=count)
+        self.silent = set()
+        for worker in self.workers.values():
+            worker.start = self._mute(worker, worker.start)
+            worker.stop = self._mute(worker, worker.stop)
+
+    def _mute(self, worker, method):
+        def call(*arguments, timeout_s):
+            if worker.report.id in self.silent:
+                gevent.sleep(timeout_s)
+                return errors.refuse(errors.Kind.OUTCOME_UNKNOWN, "no answer")
+            return method(*arguments, timeout_s=timeout_s)
+
+        return call
+
+
+class TestSilentWorkers:
+    # Starts that were given up held their places until their workers answered a
+    # stop, so that silent workers kept all others from any start.
+    def test_starts_that_were_given_up_hold_no_place(self):
+        system = systems.System(workers=2 * start_window.INITIAL_SIZE)
+        system.fleet = SilentFleet(count=2 * start_window.INITIAL_SIZE)
+        entry = system.add_entry("e1")
+        systems.wait_until(
+            lambda: (
+                entry._owner
+                and len(entry._owner.fleet.sessions)
+                == len(system.fleet.workers)
+                and all(
+                    session.are_runs_known
+                    for session in entry._owner.fleet.sessions.values()
+                )
+            )
+        )
+        names = sorted(system.fleet.workers)
+        system.fleet.silent.update(names[: start_window.INITIAL_SIZE])
+        system.submit(entry, f"{1:016x}", build_spec(len(names)))
+        gevent.sleep(4.0)
+        system.submit(entry, f"{2:016x}", build_spec(1), queue="urgent")
+        asked = time.monotonic()
+        systems.wait_until(
+            lambda: any(
+                task.startswith(f"{2:016x}") for task, _ in system.list_starts()
+            )
+        )
+        took_s = time.monotonic() - asked
+        system.kill_all()
+        assert took_s < RECLAIM_S
+
+
+def build_spec(count):
+    step = specs.Step(
+        count=count, need=specs.Resources(8_000, 1_024, 4), estimate_ms=60_000
+    )
+    return specs.JobSpec("payload", (step,))
