Bounded the time in which the starts of a gang are sent.

With more time for each try, the members of a gang waited up to 4.6 s for one whose worker answers no start (3.3 s with a delay of 0.2 s); they wait for 3 s, and each of them then fails alone (GANG). All tries of a gang now end 2 s after the first start, as before the longer time-outs, so that the stops still come in time.

test_a_gang_is_stopped_while_its_members_wait failed before in both cases.

--- a/chervilcove/control/commands.py
+++ b/chervilcove/control/commands.py
@@ -17,9 +17,10 @@
 from chervilcove.core import metrics as metric_values
 
 START_TIMEOUT_S = 0.5  # workers answer in milliseconds
-START_TRIES = 4  # tries fit into the 3 s within which a gang must start
-# The same for tries that get more time, as answers come late.
-START_PERIOD_S = 2.4
+START_TRIES = 4
+# From the first start of a gang on. Members wait 3 s for the others, in which
+# they must also be stopped if one of these can't start.
+GANG_START_S = 2.0
 START_RETRY_S = 0.1  # pause after a failed connection
 # A new owner may start hundreds of runs at once; without this limit the first
 # connections time out while the others are opened.
@@ -124,9 +125,8 @@
         run.
         """
         refusal = None
-        began = None
         for count in range(START_TRIES):
-            if began and time.monotonic() - began > START_PERIOD_S:
+            if count and run.is_gang and _get_time_left_s(run) <= 0:
                 break
             with self._start_slots:
                 session = self._fleet.sessions.get(member.place.worker)
@@ -147,7 +147,6 @@
                         "the ledger has not heard the owner for too long",
                     )
                     break
-                began = began or time.monotonic()
                 started = self._fleet.answer_times.begin_call()
                 outcome = self._call_start(session, call, payload, run, member)
                 session.lease_sent_at = time.monotonic()
@@ -238,9 +237,15 @@
                 run.resumes_from,
                 run.tickets.get(member.place.worker, ""),
             ),
-            timeout_s=self._fleet.answer_times.extend(START_TIMEOUT_S),
+            timeout_s=self._compute_start_timeout_s(run),
         )
 
+    def _compute_start_timeout_s(self, run: runs.Run) -> float:
+        timeout_s = self._fleet.answer_times.extend(START_TIMEOUT_S)
+        if not run.is_gang:
+            return timeout_s
+        return min(timeout_s, max(START_TIMEOUT_S, _get_time_left_s(run)))
+
     def stop(
         self, run: runs.Run, reason: str, *, restarts: bool = False
     ) -> None:
@@ -351,3 +356,8 @@
         greenlet = gevent.spawn(function, *arguments)
         self._greenlets.add(greenlet)
         greenlet.link(self._greenlets.discard)
+
+
+def _get_time_left_s(run: runs.Run) -> float:
+    """Return for how long the starts of a gang may still be sent."""
+    return run.started + GANG_START_S - time.monotonic()
--- a/chervilcove/control/runs.py
+++ b/chervilcove/control/runs.py
@@ -144,6 +144,11 @@
         self.departure: departures.Action | None = None
         self.departure_checked_at = float("-inf")
 
+    @property
+    def is_gang(self) -> bool:
+        """Tell whether its tasks work only together."""
+        return len(self.members) > 1
+
     @property
     def has_ended(self) -> bool:
         """Tell whether no task runs or can still start."""
--- a/tests/control/test_answer_times.py
+++ b/tests/control/test_answer_times.py
@@ -2,13 +2,17 @@
 
 import time
 
+import gevent
 import pytest
 
 from chervilcove.control import answer_times
+from chervilcove.jobs import specs
 from tests.control import narrow_links
+from tests.control import silent_workers
 from tests.control import system as systems
 
 WORKERS = 12
+GANG_S = 3.0  # for which a member of a gang waits for the others
 
 
 class TestAnswerTimes:
@@ -77,3 +81,41 @@
             )
         )
         system.kill_all()
+
+    # More time for each try let the members of a gang wait for one that can't
+    # be started for longer than they do, and each of them failed.
+    @pytest.mark.parametrize("latency_s", [0.1, 0.25])
+    def test_a_gang_is_stopped_while_its_members_wait(self, latency_s):
+        system = systems.System(workers=WORKERS)
+        system.fleet = silent_workers.SilentFleet(count=WORKERS)
+        link = narrow_links.Link(bytes_per_s=1_000_000, latency_s=latency_s)
+        entry = system.add_entry(
+            "e1",
+            connector=narrow_links.LinkedFleet(fleet=system.fleet, link=link),
+        )
+        systems.wait_until(
+            lambda: (
+                entry._owner
+                and len(entry._owner.fleet.sessions) == WORKERS
+                and all(
+                    session.are_runs_known
+                    for session in entry._owner.fleet.sessions.values()
+                )
+            )
+        )
+        gevent.sleep(1.0)  # answers show the delay of the link
+        system.fleet.silent.add("w0")
+        spec = systems.build_spec(
+            count=WORKERS, need=specs.Resources(8_000, 1_024, 8), is_gang=True
+        )
+        system.submit(entry, f"{1:016x}", spec)
+        gevent.sleep(5.0)
+        waits = [
+            min(interval.ended, time.monotonic()) - interval.began
+            for worker in system.fleet.workers.values()
+            for interval in worker.intervals
+            if interval.run == 1
+        ]
+        system.kill_all()
+        assert waits
+        assert max(waits) < GANG_S
