Began the start window with what the link carries.

It now begins with what the link of the settings carries in 0.1 s (17 starts at 1 Mbit/s, 512 at most), 64 if that is unknown.

--- a/chervilcove/control/commands.py
+++ b/chervilcove/control/commands.py
@@ -44,6 +44,7 @@
         may_start: Tells whether the owner was heard by the ledger so recently
             that nobody can have taken its runs for lost.
         metrics: Metrics of this entry.
+        link_mbps: Rate of the link of this entry in Mbit/s, 0 for unknown.
     """
 
     def __init__(
@@ -55,6 +56,7 @@
         wake: Callable[[], None],
         may_start: Callable[[], bool],
         metrics: metric_values.Metrics,
+        link_mbps: float = 0.0,
     ):
         self._fleet = fleet
         self._open_starts = open_starts
@@ -66,7 +68,7 @@
         self._stopping_runs: set[runs.Run] = set()
         self._greenlets: set[gevent.Greenlet] = set()
         self._start_slots = lock.BoundedSemaphore(MAX_CONCURRENT_STARTS)
-        self._start_window = start_windows.StartWindow()
+        self._start_window = start_windows.StartWindow(link_mbps=link_mbps)
         self._starts_under_way = 0
         # Whether a round had more to start than the window allowed.
         self._is_window_full = False
@@ -153,11 +155,12 @@
                 delay_s = self._fleet.answer_times.measure(started)
                 self._metrics.record_time("starts.answer", delay_s)
                 self._fleet.answer_times.record(member.place.worker, delay_s)
-                self._start_window.record(
-                    member.place.worker,
-                    delay_s,
-                    under_way=self._starts_under_way,
-                )
+                if not count:
+                    self._start_window.record(
+                        member.place.worker,
+                        delay_s,
+                        under_way=self._starts_under_way,
+                    )
             if not errors.is_refusal(outcome):
                 if call.fence != session.fence:
                     # It may be of the process that was noticed meanwhile.
--- a/chervilcove/control/owners.py
+++ b/chervilcove/control/owners.py
@@ -153,6 +153,7 @@
             wake=self.wake,
             may_start=self._may_renew,
             metrics=metrics,
+            link_mbps=values.limits.link_mbps,
         )
         self._grants = grants.GrantFetcher(
             policy=connector.connect_policy(),
--- a/chervilcove/control/start_window.py
+++ b/chervilcove/control/start_window.py
@@ -3,31 +3,42 @@
 Starts share the link of the entry with renewals, stops and heartbeats. They are
 the one part of its traffic that can wait: more of them than the link carries
 delay the others until leases end and the owner is replaced. The window follows
-the delays of the answers, as congestion windows do. So it needs no rate of the
-link, and it answers to a busy processor too.
+the delays of the answers, as congestion windows do, so that it answers to a
+link that others use or that is slower than the settings say. It begins with
+what the link carries by the settings.
 """
 
 import collections
 import time
 
-INITIAL_SIZE = 16
+UNKNOWN_LINK_SIZE = 64  # to begin with, on a link of unknown rate
+# Otherwise, what passes the link in this time, with starts of this size.
+INITIAL_S = 0.1
+START_BYTES = 700
+MAX_SIZE = 512
 MIN_SIZE = 4
 PROMPT_S = 0.05  # workers answer in milliseconds
 LATE_S = 0.1  # starts under way then wait for up to twice as long
 SAMPLES = 12  # answers of as many workers decide
+SAMPLE_AGE_S = 3.0  # older answers don't count
 STEP = 4  # by which the window grows in the time of one answer, once it shrank
 
 
 class StartWindow:
-    """Compute the number of starts that may be under way."""
+    """Compute the number of starts that may be under way.
 
-    def __init__(self):
-        self._size = float(INITIAL_SIZE)
+    Args:
+        link_mbps: Rate of the link in Mbit/s, 0 for unknown.
+    """
+
+    def __init__(self, *, link_mbps: float = 0.0):
+        self._size = _compute_initial_size(link_mbps)
         # The window doubles in the time of an answer below this size.
         self._doubles_below = float("inf")
         self._reduced_at = float("-inf")
-        # Newest delay of each worker, the newest one last.
-        self._delays: collections.OrderedDict[str, float] = (
+        # Newest delay of each worker, and the monotonic seconds at which it
+        # was seen; the newest one last.
+        self._newest: collections.OrderedDict[str, tuple[float, float]] = (
             collections.OrderedDict()
         )
 
@@ -37,18 +48,24 @@
         return int(self._size)
 
     def record(self, worker: str, delay_s: float, *, under_way: int) -> None:
-        """Record the answer to a start, or that none came.
+        """Record the answer to the first try of a start, or that none came.
+
+        Later tries go to workers that are silent for a reason of their own.
 
         Args:
             worker: Id of the worker.
             delay_s: Seconds until the answer, or until it was given up.
             under_way: Number of starts under way, this one included.
         """
-        self._delays[worker] = delay_s
-        self._delays.move_to_end(worker)
-        if len(self._delays) > SAMPLES:
-            self._delays.popitem(last=False)
-        delays = sorted(self._delays.values())
+        now = time.monotonic()
+        self._newest[worker] = (delay_s, now)
+        self._newest.move_to_end(worker)
+        while (
+            len(self._newest) > SAMPLES
+            or now - next(iter(self._newest.values()))[1] > SAMPLE_AGE_S
+        ):
+            self._newest.popitem(last=False)
+        delays = sorted(delay for delay, _ in self._newest.values())
         middle_s = delays[(len(delays) - 1) // 2]
         if middle_s <= PROMPT_S:
             # A window that isn't used says nothing about a larger one.
@@ -58,10 +75,8 @@
             self._shrink(middle_s)
 
     def _grow(self) -> None:
-        if self._size < self._doubles_below:
-            self._size += 1.0
-        else:
-            self._size += STEP / self._size
+        step = 1.0 if self._size < self._doubles_below else STEP / self._size
+        self._size = min(float(MAX_SIZE), self._size + step)
 
     def _shrink(self, delay_s: float) -> None:
         """Halve the window, once for what was sent before the last time."""
@@ -70,3 +85,11 @@
             self._reduced_at = now
             self._size = max(float(MIN_SIZE), self._size / 2)
             self._doubles_below = self._size
+
+
+def _compute_initial_size(link_mbps: float) -> float:
+    if not link_mbps:
+        return float(UNKNOWN_LINK_SIZE)
+    bytes_per_s = link_mbps * 1e6 / 8
+    starts = bytes_per_s * INITIAL_S / START_BYTES
+    return float(min(MAX_SIZE, max(MIN_SIZE, int(starts))))
--- a/tests/control/test_narrow_links.py
+++ b/tests/control/test_narrow_links.py
@@ -8,6 +8,7 @@
 from chervilcove.control import clocks
 from chervilcove.control import owner_writer
 from chervilcove.core import metrics as metric_values
+from chervilcove.dispatch import capacity
 from chervilcove.jobs import records
 from chervilcove.jobs import specs
 from chervilcove.standins import ledger as ledgers
@@ -40,6 +41,9 @@
                 name,
                 ledger=narrow_links.LinkedLedger(ledger=self.ledger, link=link),
                 connector=narrow_links.LinkedFleet(fleet=self.fleet, link=link),
+                limits=capacity.EntryLimits(
+                    link_mbps=LINK_BYTES_PER_S * 8 / 1e6
+                ),
             )
         self._greenlets = [
             gevent.spawn(self._end_tasks),
