Counted starts in the window until their first try ends.

Workers that had just fallen silent still held the places of the window with the four tries of each start: with 20 of 60 silent on a link of 1 Mbit/s, an urgent job on the others waited for 3.8 s. A try that got no answer has left the link, so that the place is free from then on.

--- a/chervilcove/control/commands.py
+++ b/chervilcove/control/commands.py
@@ -69,7 +69,8 @@
         self._greenlets: set[gevent.Greenlet] = set()
         self._start_slots = lock.BoundedSemaphore(MAX_CONCURRENT_STARTS)
         self._start_window = start_windows.StartWindow(link_mbps=link_mbps)
-        self._starts_under_way = 0
+        # Tasks whose first start is under way, or waits for its turn.
+        self._starting: set[runs.Member] = set()
         # Whether a round had more to start than the window allowed.
         self._is_window_full = False
         self._is_killed = False
@@ -92,7 +93,7 @@
             ordered: Number of tasks whose start is not to be sent yet, as its
                 record isn't stored.
         """
-        return self._start_window.size - ordered - self._starts_under_way
+        return self._start_window.size - ordered - len(self._starting)
 
     def record_full_window(self) -> None:
         """Request a round once more starts are allowed."""
@@ -101,7 +102,7 @@
     def send_starts(self, payload: str, run: runs.Run) -> None:
         """Start all tasks of a run whose record is already stored."""
         run.started = time.monotonic()
-        self._starts_under_way += len(run.members)
+        self._starting.update(run.members)
         for member in run.members:
             self._spawn(self._send_start_in_window, payload, run, member)
 
@@ -111,10 +112,13 @@
         try:
             self._send_start(payload, run, member)
         finally:
-            self._starts_under_way -= 1
-            if self._is_window_full:
-                self._is_window_full = False
-                self._wake()
+            self._leave_window(member)
+
+    def _leave_window(self, member: runs.Member) -> None:
+        self._starting.discard(member)
+        if self._is_window_full:
+            self._is_window_full = False
+            self._wake()
 
     def _send_start(
         self, payload: str, run: runs.Run, member: runs.Member
@@ -159,8 +163,10 @@
                     self._start_window.record(
                         member.place.worker,
                         delay_s,
-                        under_way=self._starts_under_way,
+                        under_way=len(self._starting),
                     )
+                    # Silent workers must not keep others from their starts.
+                    self._leave_window(member)
             if not errors.is_refusal(outcome):
                 if call.fence != session.fence:
                     # It may be of the process that was noticed meanwhile.
--- a/tests/control/silent_workers.py
+++ b/tests/control/silent_workers.py
@@ -1,4 +1,4 @@
-"""Workers that answer renewals, and no commands."""
+"""Workers that fall silent."""
 
 import gevent
 
@@ -7,7 +7,7 @@
 
 
 class SilentFleet(fleets.MemoryFleet):
-    """Fleet in which some workers answer nothing but renewals.
+    """Fleet in which some workers answer no call and carry none out.
 
     Attributes:
         silent: Ids of these workers.
@@ -17,14 +17,15 @@
         super().__init__(count=count)
         self.silent = set()
         for worker in self.workers.values():
-            worker.start = self._mute(worker, worker.start)
-            worker.stop = self._mute(worker, worker.stop)
+            for name in ("start", "stop", "renew_lease"):
+                method = getattr(worker, name)
+                setattr(worker, name, self._mute(worker, method))
 
     def _mute(self, worker, method):
-        def call(*arguments, timeout_s):
+        def call(*arguments, timeout_s, **options):
             if worker.report.id in self.silent:
                 gevent.sleep(timeout_s)
                 return errors.refuse(errors.Kind.OUTCOME_UNKNOWN, "no answer")
-            return method(*arguments, timeout_s=timeout_s)
+            return method(*arguments, timeout_s=timeout_s, **options)
 
         return call
