Kept workers from a rest that the owner's own link has caused.

A worker whose start was given up, or whose lease ended without an answer, rests for 6 to 60 s. No worker rests while most of them answer late. Workers that were not seen late now count as prompt: silence is always recorded, an answer within the wait of a call isn't, so that eight silent ones could be the whole sample.

test_workers_that_were_not_seen_late_count_as_prompt can't run before (it asks for the number of workers), nor can test_late_workers_do_not_rest.

--- a/chervilcove/control/answer_times.py
+++ b/chervilcove/control/answer_times.py
@@ -6,12 +6,14 @@
 given up and repeated makes them later still. So calls get more time meanwhile.
 """
 
+from collections.abc import Callable
 import time
 from typing import NamedTuple
 
 MIN_WORKERS = 8  # with fewer, nothing tells a common cause from a single one
 SAMPLE_AGE_S = 3.0  # older answers don't count
 USUAL_S = 0.05  # workers answer in milliseconds
+LATE_S = 0.25  # half of the shortest time-out of a call
 EXTRA_TIME_FACTOR = 4.0  # more time for a call, in multiples of typical delays
 # With it, a worker is asked twice within the shortest lease.
 MAX_EXTRA_TIME_S = 2.0
@@ -31,9 +33,16 @@
 
 
 class AnswerTimes:
-    """Keep the newest delay of each worker's answers."""
+    """Keep the newest delay of each worker's answers.
 
-    def __init__(self):
+    Args:
+        count_workers: Returns the number of workers. Those that were not seen
+            late count as prompt: many answer within the wait of a call, which
+            doesn't tell how long the answer took.
+    """
+
+    def __init__(self, *, count_workers: Callable[[], int]):
+        self._count_workers = count_workers
         self._held_s = 0.0
         # Monotonic seconds at which it was seen, and the delay, by worker.
         self._newest: dict[str, tuple[float, float]] = {}
@@ -74,6 +83,10 @@
             self._typical_s = self._compute_typical_s(now)
         return self._typical_s
 
+    def are_late(self) -> bool:
+        """Tell whether most workers answer so late that the cause is here."""
+        return self.get_typical_s() > LATE_S
+
     def extend(self, timeout_s: float) -> float:
         """Return the time-out of a call that usually has `timeout_s`."""
         excess_s = max(0.0, self.get_typical_s() - USUAL_S)
@@ -86,6 +99,9 @@
             if now - sample[0] < SAMPLE_AGE_S
         }
         delays = sorted(delay_s for _, delay_s in self._newest.values())
-        if len(delays) < MIN_WORKERS:
+        workers = max(self._count_workers(), len(delays))
+        if workers < MIN_WORKERS:
             return 0.0
-        return delays[(len(delays) - 1) // 2]
+        prompt = workers - len(delays)
+        middle = (workers - 1) // 2 - prompt
+        return delays[middle] if middle >= 0 else 0.0
--- a/chervilcove/control/commands.py
+++ b/chervilcove/control/commands.py
@@ -220,9 +220,7 @@
         ):
             # Expired tickets and permissions are no fault of the worker, nor
             # are starts for its earlier process.
-            self._fleet.health.record_unresponsive(
-                member.place.worker, time.monotonic()
-            )
+            self._fleet.record_unresponsive(member.place.worker)
         self.stop(run, "a start was abandoned")
         # Until the worker answers, which may be never. The start itself holds
         # no place in the window meanwhile.
--- a/chervilcove/control/fleet.py
+++ b/chervilcove/control/fleet.py
@@ -58,7 +58,9 @@
     ):
         self.resources = resource_values.FleetResources()
         self.health = health.WorkerHealth()
-        self.answer_times = answer_times.AnswerTimes()
+        self.answer_times = answer_times.AnswerTimes(
+            count_workers=lambda: len(self.sessions)
+        )
         self.sessions: dict[str, sessions.Session] = {}
         self.reports: dict[str, interfaces.WorkerReport] = {}
         # Earliest time at which each draining worker leaves, monotonic seconds.
@@ -210,6 +212,11 @@
             return self.inherited_expiry
         return session.expires_at
 
+    def record_unresponsive(self, worker: str) -> None:
+        """Let a worker rest that answered no call, unless most are late."""
+        if not self.answer_times.are_late():
+            self.health.record_unresponsive(worker, time.monotonic())
+
     def may_start_late(self, member: runs.Member) -> bool:
         """Tell whether a start may still be carried out by another process.
 
--- a/chervilcove/control/owners.py
+++ b/chervilcove/control/owners.py
@@ -717,7 +717,7 @@
             )
             self._end_member(run, member, "lost", evidence="lease_expired")
         self._record_ends(worker)
-        self.fleet.health.record_unresponsive(worker, now)
+        self.fleet.record_unresponsive(worker)
 
     # Jobs.
 
@@ -833,8 +833,8 @@
             failures=before.failures,
             crashes=len(before.crashes),
         )
-        self._ordered_tasks += len(run.members)
         self._write_unit(start.unit, unit, lambda: self._send_starts(job, run))
+        self._ordered_tasks += len(run.members)
 
     def _send_starts(self, job: table.Job, run: runs.Run) -> None:
         self._ordered_tasks -= len(run.members)
--- a/tests/control/test_answer_times.py
+++ b/tests/control/test_answer_times.py
@@ -18,7 +18,7 @@
 class TestAnswerTimes:
     @pytest.fixture
     def times(self):
-        return answer_times.AnswerTimes()
+        return answer_times.AnswerTimes(count_workers=lambda: WORKERS)
 
     def test_late_answers_of_most_workers_give_calls_more_time(self, times):
         for number in range(WORKERS):
@@ -31,7 +31,16 @@
             times.record(f"w{number}", 0.7 if number < 4 else 0.002)
         assert times.extend(0.5) == 0.5
 
-    def test_few_workers_tell_nothing(self, times):
+    # Answers within the wait of a call aren't recorded, silence always is.
+    def test_workers_that_were_not_seen_late_count_as_prompt(self, times):
+        for number in range(5):
+            times.record(f"w{number}", 0.7)
+        assert times.extend(0.5) == 0.5
+
+    def test_few_workers_tell_nothing(self):
+        times = answer_times.AnswerTimes(
+            count_workers=lambda: answer_times.MIN_WORKERS - 1
+        )
         for number in range(answer_times.MIN_WORKERS - 1):
             times.record(f"w{number}", 0.7)
         assert times.extend(0.5) == 0.5
@@ -119,3 +128,30 @@
         system.kill_all()
         assert waits
         assert max(waits) < GANG_S
+
+    # After a full link the workers were healthy, but rested for up to a minute.
+    def test_late_workers_do_not_rest_if_most_are_late(self):
+        system = systems.System(workers=WORKERS)
+        entry = system.add_entry("e1")
+        fleet = systems.wait_until(
+            lambda: (
+                entry._owner
+                and len(entry._owner.fleet.sessions) == WORKERS
+                and entry._owner.fleet
+            )
+        )
+        fleet.record_unresponsive("w0")
+        for name in system.fleet.workers:
+            fleet.answer_times.record(name, 0.7)
+        gevent.sleep(2 * answer_times.REFRESH_S)
+        for name in system.fleet.workers:
+            fleet.answer_times.record(name, 0.7)
+        fleet.record_unresponsive("w1")
+        now = time.monotonic()
+        resting = {
+            name
+            for name in system.fleet.workers
+            if fleet.health.is_quarantined(name, now)
+        }
+        system.kill_all()
+        assert resting == {"w0"}
