--- a/chervilcove/control/commands.py
+++ b/chervilcove/control/commands.py
@@ -66,6 +66,8 @@
         self._metrics = metrics
         self._log = logs.Log(source="orders")
         self._stopping_runs: set[runs.Run] = set()
+        # Stops of runs that aren't tracked, by worker, task and run.
+        self._stray_stops: set[tuple[str, str, int]] = set()
         self._greenlets: set[gevent.Greenlet] = set()
         self._start_slots = lock.BoundedSemaphore(MAX_CONCURRENT_STARTS)
         self._start_window = start_windows.StartWindow(link_mbps=link_mbps)
@@ -348,16 +350,25 @@
     def stop_stray_run(
         self, session: sessions.Session, task: str, number: int
     ) -> None:
-        """Stop a run that the owner does not track."""
-        self._spawn(self._send_stray_stop, session, task, number)
+        """Stop a run that the owner does not track.
+
+        Workers list it with each answer; one stop is under way at a time.
+        """
+        key = (session.report.id, task, number)
+        if key not in self._stray_stops:
+            self._stray_stops.add(key)
+            self._spawn(self._send_stray_stop, session, task, number)
 
     def _send_stray_stop(
         self, session: sessions.Session, task: str, number: int
     ) -> None:
-        session.client.stop(
-            interfaces.RunCommand(task, number, session.fence),
-            timeout_s=self._fleet.answer_times.extend(STOP_TIMEOUT_S),
-        )
+        try:
+            session.client.stop(
+                interfaces.RunCommand(task, number, session.fence),
+                timeout_s=self._fleet.answer_times.extend(STOP_TIMEOUT_S),
+            )
+        finally:
+            self._stray_stops.discard((session.report.id, task, number))
 
     def _spawn(self, function: Callable, *arguments: object) -> None:
         greenlet = gevent.spawn(function, *arguments)
--- a/tests/control/test_answer_times.py
+++ b/tests/control/test_answer_times.py
@@ -155,3 +155,35 @@
         }
         system.kill_all()
         assert resting == {"w0"}
+
+
+class TestStrayRuns:
+    # A run that isn't tracked is in each list of its worker, and each list sent
+    # one more stop, also on a full link.
+    def test_one_stop_of_a_run_is_under_way_at_a_time(self, monkeypatch):
+        system = systems.System(workers=2)
+        entry = system.add_entry("e1")
+        owner = systems.wait_until(
+            lambda: (
+                entry._owner
+                and len(entry._owner.fleet.sessions) == 2
+                and entry._owner
+            )
+        )
+        stops = []
+
+        def stop(command, *, timeout_s):
+            stops.append(command)
+            gevent.sleep(0.2)
+
+        monkeypatch.setattr(system.fleet.workers["w0"], "stop", stop)
+        session = owner.fleet.sessions["w0"]
+        for _ in range(5):
+            owner._commands.stop_stray_run(session, "a.0.0.0", 1)
+        gevent.sleep(0.1)
+        assert len(stops) == 1
+        gevent.sleep(0.3)
+        owner._commands.stop_stray_run(session, "a.0.0.0", 1)
+        gevent.sleep(0.1)
+        system.kill_all()
+        assert len(stops) == 2
