--- a/chervilcove/control/core.py
+++ b/chervilcove/control/core.py
@@ -106,6 +106,7 @@
             metrics=metrics,
             is_read_back=lambda key: self._follower.table.has_record(key),
             relay=self._create_relay(metrics),
+            link_mbps=values.limits.link_mbps,
         )
         self._election = elections.Election(
             name=self._identity,
--- a/chervilcove/control/owner_writer.py
+++ b/chervilcove/control/owner_writer.py
@@ -64,6 +64,7 @@
         clock: Time that the entries share.
         on_deposed: Called with a reason once a newer owner is known.
         metrics: Metrics of this entry.
+        link_mbps: Rate of the link in Mbit/s, 0 for unknown.
     """
 
     def __init__(
@@ -75,9 +76,11 @@
         clock: clocks.SharedClock,
         on_deposed: Callable[[str], None],
         metrics: metric_values.Metrics,
+        link_mbps: float = 0.0,
     ):
         super().__init__(name="owner_writer")
         self._ledger = ledger
+        self._batch_bytes = writers.compute_batch_bytes(link_mbps)
         self._epoch = epoch
         # The claim itself had sequence number 0.
         self._sequence = 1
@@ -186,7 +189,9 @@
             is_idle = not self._waiting
             while (self._waiting or is_idle) and not self.is_stopping:
                 is_idle = False
-                batch = writers.pick_batch(self._waiting)
+                batch = writers.pick_batch(
+                    self._waiting, max_bytes=self._batch_bytes
+                )
                 self._in_flight_count = len(batch)
                 keyed = [item for item in batch if item.key]
                 if (keyed or not batch) and not self._append(keyed):
--- a/chervilcove/control/owners.py
+++ b/chervilcove/control/owners.py
@@ -115,6 +115,7 @@
             clock=self._clock,
             on_deposed=on_deposed,
             metrics=metrics,
+            link_mbps=values.limits.link_mbps,
         )
         self.fleet = fleets.Fleet(
             connector=connector,
--- a/chervilcove/control/writers.py
+++ b/chervilcove/control/writers.py
@@ -19,6 +19,10 @@
 # A batch that a link doesn't carry within MAX_APPEND_TIMEOUT_S would never be
 # stored. This one needs half a second at 0.5 Mbit/s.
 MAX_BATCH_BYTES = 32_000
+# On a link of known rate, an append takes no longer than this to pass it: the
+# owner's heartbeat is the last of its records.
+BATCH_S = 0.15
+MIN_BATCH_BYTES = 4_000
 MAX_APPEND_TIMEOUT_S = 1.2  # bounds the wait for an answer that was lost
 # In the specified worst case the ledger is 80 times slower than usual and
 # answers in 0.32 s.
@@ -108,6 +112,7 @@
         relay: Appends records through the owner, as `RecordRelay.append`;
             None if this entry always appends on its own.
         tries: Failed appends in a row after which callers are refused.
+        link_mbps: Rate of the link in Mbit/s, 0 for unknown.
     """
 
     def __init__(
@@ -118,6 +123,7 @@
         is_read_back: Callable[[str], bool],
         relay: Callable[..., errors.Refusal | None] | None = None,
         tries: int = 3,
+        link_mbps: float = 0.0,
     ):
         super().__init__(name="caller_writer")
         self._is_read_back = is_read_back
@@ -125,6 +131,7 @@
         self._metrics = metrics
         self._relay = relay
         self._tries = tries
+        self._batch_bytes = compute_batch_bytes(link_mbps)
         self._failures = 0
         self._lost_answers = 0  # in a row
         self._timeouts = AppendTimeouts()
@@ -163,7 +170,7 @@
                 self._append_batch()
 
     def _append_batch(self) -> None:
-        batch = pick_batch(self._waiting)
+        batch = pick_batch(self._waiting, max_bytes=self._batch_bytes)
         del self._waiting[: len(batch)]
         now = time.monotonic()
         left_s = max(item.deadline for item in batch) - now
@@ -240,16 +247,27 @@
 Item = TypeVar("Item")
 
 
-def pick_batch(waiting: list[Item]) -> list[Item]:
+def compute_batch_bytes(link_mbps: float) -> int:
+    """Return the size of the largest batch for a link, 0 for unknown."""
+    if not link_mbps:
+        return MAX_BATCH_BYTES
+    passing = int(link_mbps * 1e6 / 8 * BATCH_S)
+    return max(MIN_BATCH_BYTES, min(MAX_BATCH_BYTES, passing))
+
+
+def pick_batch(
+    waiting: list[Item], *, max_bytes: int = MAX_BATCH_BYTES
+) -> list[Item]:
     """Return the first items of `waiting`, as many as fit in one append.
 
     Args:
         waiting: Items with the attributes `key` and `value`.
+        max_bytes: Size after which no item is added.
     """
     batch: list[Item] = []
     size = 0
     for item in waiting:
-        if size >= MAX_BATCH_BYTES:
+        if size >= max_bytes:
             break
         batch.append(item)
         size += len(item.key) + len(item.value)
--- a/tests/control/test_narrow_links.py
+++ b/tests/control/test_narrow_links.py
@@ -170,3 +170,26 @@
             owner.kill()
         assert len({one.key for one in ledger.records}) >= size // 200
         assert link.sent < 2 * size
+
+
+class TestLargeJobs:
+    # A dozen descriptions in one append kept the heartbeat at its end from the
+    # ledger, and the owner was replaced.
+    def test_many_descriptions_at_once_keep_the_owner(self, narrow_system):
+        systems.wait_until(narrow_system.are_runs_known)
+        claims = narrow_system.list_claims()
+        owner = narrow_system.find_owner_entry()
+        spec = build_spec(1)._replace(payload="p" * 3_900)
+        jobs = [f"{number:016x}" for number in range(12)]
+        for job in jobs:
+            gevent.spawn(narrow_system.submit, owner, job, spec)
+        gevent.sleep(8.0)
+        stored = {
+            one.key[2:]
+            for one in narrow_system.ledger.records
+            if one.key.startswith("j/")
+        }
+        assert narrow_system.list_claims() == claims
+        assert narrow_system.given_up == set()
+        assert len(stored) >= len(jobs) / 2
+        assert all(narrow_system.is_done(job) for job in stored)
