Ran the store of the tests of crowds in a process of its own.

The stand-in store ran in the process of the test, together with the crowd. An entry whose reads of its store fail isn't ready, which is what its pages promise. Shown: with the process of the test stopped for 2.5 s, three times, beside 20 silent clients, /ready answered 503 three times of three, and nine reads failed. With the store in a process of its own it answered 200 three times, and no read failed. Where the entry shared one core with 8 busy processes, its greenlets were late by up to 3.4 s, but had used 8 ms of processor time or less in each such pause: its reads waited for the processor, not for the crowd.

All checks and bounds are as they were.

--- a/tests/clients/processes.py
+++ b/tests/clients/processes.py
@@ -9,6 +9,7 @@
 from gevent import hub
 import psutil
 
+from chervilcove.conf import global_settings
 from chervilcove.core import errors
 from chervilcove.core import http
 from chervilcove.standins import instances
@@ -28,6 +29,12 @@
 START_POLLS = 1_500
 
 
+def choose_known(fleet):
+    """Return those of some settings of a fleet that this code knows."""
+    known = global_settings.Fleet.__annotations__
+    return {name: value for name, value in fleet.items() if name in known}
+
+
 def find_free_ports(count):
     socks = [socket.socket() for _ in range(count)]
     try:
@@ -40,15 +47,23 @@
 
 
 class Process:
-    """One process, with the ports that it opens by name."""
+    """One process of this tree.
+
+    Args:
+        words: Module to run, and its arguments.
+        environment: Further variables of its environment.
+        log_path: File for its output.
+        descriptors: Descriptors that it takes over.
+    """
 
-    def __init__(self, *, words, environment, log_path):
+    def __init__(self, *, words, environment, log_path, descriptors=()):
         with open(log_path, "wb") as output:
             self._process = subprocess.Popen(
                 [sys.executable, "-m", *words],
                 env={**os.environ, **environment},
                 stdout=output,
                 stderr=output,
+                pass_fds=descriptors,
             )
         self._info = psutil.Process(self._process.pid)
         self._log_path = log_path
@@ -70,9 +85,19 @@
     def read_log_kb(self):
         return self._log_path.stat().st_size / 1024
 
+    def read_log(self):
+        return self._log_path.read_text()
+
+    def send_signal(self, number):
+        self._process.send_signal(number)
+
+    def wait(self):
+        """Wait until the process ends; return its exit code."""
+        return hub.get_hub().threadpool.apply(self._process.wait)
+
     def stop(self):
         self._process.kill()
-        hub.get_hub().threadpool.apply(self._process.wait)
+        self.wait()
 
 
 def ask(port, path, **headers):
@@ -87,34 +112,77 @@
         peer.close()
 
 
+def start_store(records, folder):
+    """Start a store that holds `records`; return it and its address.
+
+    Args:
+        records: Lists of topic, key and value.
+        folder: Folder for its files.
+    """
+    path = folder / "store.json"
+    path.write_text(json.dumps(records))
+    with socket.socket() as listener:
+        listener.bind(("127.0.0.1", 0))
+        listener.listen()
+        host, port = listener.getsockname()
+        process = Process(
+            words=["tests.clients.store", str(listener.fileno()), str(path)],
+            environment={},
+            log_path=folder / "store.log",
+            descriptors=(listener.fileno(),),
+        )
+    return process, f"{host}:{port}"
+
+
 class PlatformEntry:
-    """An entry on the platform, with a store in this process."""
+    """An entry on the platform, and its store.
+
+    Args:
+        folder: Folder for its files.
+        fleet: Further settings of the fleet.
+        config: Configuration in the store.
+        starts: Whether it is started at once.
+    """
 
     EXPECTED = {"front": 200, "ready": 200, "metrics": 200, "peers": 404}
 
-    def __init__(self, *, folder, fleet=None):
-        self.store = standin.Store()
-        config = {**standin.CONFIG, "limits": LIMITS}
-        self.store.put("keyed.op", "config", config)
+    def __init__(
+        self, *, folder, fleet=None, config=standin.CONFIG, starts=True
+    ):
+        self.process = None
+        self.store, address = start_store(
+            [["keyed.op", "config", {**config, "limits": LIMITS}]], folder
+        )
         names = ("front", "ready", "metrics", "peers")
         self.ports = dict(zip(names, find_free_ports(4), strict=True))
-        settings = {
+        self._folder = folder
+        self._settings = {
             "entry": {"name": "entry-1"},
             "fleet": {
                 **{
                     name: f"127.0.0.1:{port}"
                     for name, port in self.ports.items()
                 },
-                "ledger": f"127.0.0.1:{self.store.server.port}",
+                "ledger": address,
                 **(fleet or {}),
             },
         }
-        path = folder / "entry.jsonc"
-        path.write_text(json.dumps(settings))
+        self.change()
+        if starts:
+            self.start()
+
+    def change(self, **fleet):
+        """Write the settings file with some other settings of the fleet."""
+        self._settings["fleet"].update(fleet)
+        path = self._folder / "entry.jsonc"
+        path.write_text(json.dumps(self._settings))
+
+    def start(self):
+        path = self._folder / "entry.jsonc"
         self.process = Process(
             words=["chervilcove.platform"],
             environment={"CHERVILCOVE_NODE_FILE": str(path)},
-            log_path=folder / "entry.log",
+            log_path=self._folder / "entry.log",
         )
 
     def wait_ready(self):
@@ -139,8 +207,9 @@
         }
 
     def stop(self):
-        self.process.stop()
-        self.store.server.stop()
+        if self.process is not None:
+            self.process.stop()
+        self.store.stop()
 
 
 class OwnEntry:
--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -158,11 +158,11 @@
         unreadable_topics: Topics whose reads are refused.
     """
 
-    def __init__(self):
+    def __init__(self, listener=None):
         self.topics = {}
         self.refuse_with = 0
         self.unreadable_topics = set()
-        self.server = web.WebServer(host="127.0.0.1")
+        self.server = web.WebServer(host="127.0.0.1", listener=listener)
         self.server.add_route("POST", "/log-append", self._append)
         self.server.add_route("GET", "/log-read", self._read)
         self.server.add_route("GET", "/log-newest", self._newest)
--- a/tests/platform/test_settings_process.py
+++ b/tests/platform/test_settings_process.py
@@ -67,5 +67,4 @@
             wait_for_log("event=settings_not_reloaded")
         finally:
             peer.close()
-            entry.process.stop()
-            entry.store.server.stop()
+            entry.stop()
