Tested entries and other programs under crowds in more states.

The tests of crowds met an entry of the platform in calm alone, one way and one port at a time. Added: all ways on all ports at once by clients that come back, from before an entry listens, while its store is silent, over a SIGHUP, over a SIGTERM with exit code 0, and with 1,400 routes; lines without end on all ports; /v1/status and /v1/explain; the own interface with its heartbeats, a stand-in worker and the demo. The checks are in a module of their own, as they were.

--- a/tests/clients/crowd.py
+++ b/tests/clients/crowd.py
@@ -12,6 +12,7 @@
 
 MIB = 1024 * 1024
 BLOCK = 65_536
+RETURN_S = 0.02  # pause of a client that comes back
 
 
 class Behaviour(NamedTuple):
@@ -55,6 +56,13 @@
 
 _CHUNKED = b"Transfer-Encoding: chunked"
 _GET = _head(b"GET /batch/ HTTP/1.1") + b"\r\n"
+_STATUS = _head(b"GET /v1/status HTTP/1.1") + b"\r\n"
+
+
+def _ask_explain(body):
+    length = b"Content-Length: %d" % len(body)
+    return _head(b"POST /v1/explain HTTP/1.1", length) + b"\r\n" + body
+
 
 BEHAVIOURS = {
     # 8 MB of announced bodies, less one byte each, ended a process: 517 MB.
@@ -95,6 +103,8 @@
     ),
     "request_line_without_end": Behaviour(b"GET /", b"x" * BLOCK, 16 * MIB),
     "empty_lines_without_end": Behaviour(b"", b"\r\n" * 20_000, 16 * MIB),
+    "line_feeds_without_end": Behaviour(b"", b"\n" * BLOCK, 16 * MIB),
+    "spaces_without_end": Behaviour(b"", b" " * BLOCK, 16 * MIB),
     "nothing_sent": Behaviour(b""),
     "head_a_byte_at_a_time": Behaviour(
         _head(b"GET /batch/ HTTP/1.1"), b"a", 4_000, pause_s=0.05
@@ -131,6 +141,35 @@
         count=10,
     ),
 }
+# What is tried on the pages of operators, beside the ways above.
+OPERATOR_BEHAVIOURS = {
+    "status_not_taken": Behaviour(
+        b"", _STATUS * 500, 16 * MIB, buffer_bytes=4_096, count=10
+    ),
+    "status_pipelined": Behaviour(
+        b"", _STATUS * 50, 256 * 1024, reads=True, count=10
+    ),
+    "explain_deep_json": Behaviour(
+        b"", _ask_explain(b"[" * 200_000), 4 * MIB, reads=True, count=10
+    ),
+    "explain_many_steps": Behaviour(
+        b"",
+        _ask_explain(
+            b'{"queue":"r-1","customer":"t","body":{"steps":['
+            + b'{"count":1},' * 20_000
+            + b'{"count":1}]}}'
+        ),
+        4 * MIB,
+        reads=True,
+        count=10,
+    ),
+    "explain_without_end": Behaviour(
+        _head(b"POST /v1/explain HTTP/1.1", _CHUNKED) + b"\r\n",
+        (b"4000\r\n" + b"x" * 0x4000 + b"\r\n") * 4,
+        16 * MIB,
+        count=10,
+    ),
+}
 # What is tried on ports that take no requests of callers.
 CORE_BEHAVIOURS = (
     "bodies_less_one_byte",
@@ -141,6 +180,14 @@
     "head_a_byte_at_a_time",
     "answers_not_taken",
 )
+# Heads that consist of lines, or of one line, without end.
+LINE_BEHAVIOURS = (
+    "header_line_without_end",
+    "request_line_without_end",
+    "empty_lines_without_end",
+    "line_feeds_without_end",
+    "spaces_without_end",
+)
 # Behaviours after which the server must close each connection by itself.
 SLOW_BEHAVIOURS = (
     "nothing_sent",
@@ -152,23 +199,42 @@
 )
 
 
+def mix(ports, behaviours):
+    """Return members of a crowd: one client of each behaviour on each port."""
+    return [
+        (behaviour._replace(count=1), port)
+        for behaviour in behaviours
+        for port in ports
+    ]
+
+
 class Crowd:
-    """Clients of one behaviour on one port.
+    """Clients that meet the ports of a process at the same time.
 
     Args:
-        behaviour: What each client does.
-        port: TCP port on the loopback address.
+        members: Behaviours, and the port that each of them meets.
+        comes_back: Whether a client begins again when it has sent all, was
+            closed or found nobody listening. It then keeps no connection.
+
+    Attributes:
+        accepted: Connections that were opened so far.
     """
 
-    def __init__(self, *, behaviour, port):
-        self._behaviour = behaviour
-        self._port = port
-        self._socks = []
+    def __init__(self, *, members, comes_back=False):
+        self._members = members
+        self._comes_back = comes_back
+        self._socks = set()
         self._senders = []
+        self.accepted = 0
+
+    @property
+    def count(self):
+        return sum(behaviour.count for behaviour, _ in self._members)
 
     def start(self):
-        for _ in range(self._behaviour.count):
-            self._senders.append(gevent.spawn(self._send))
+        for behaviour, port in self._members:
+            for _ in range(behaviour.count):
+                self._senders.append(gevent.spawn(self._run, behaviour, port))
 
     def wait(self, *, limit_s):
         """Wait until all clients have sent all or were closed."""
@@ -179,29 +245,36 @@
         for sock in self._socks:
             sock.close()
 
-    def _send(self):
-        behaviour = self._behaviour
-        try:
+    def _run(self, behaviour, port):
+        while True:
             sock = socket.socket()
-            self._socks.append(sock)
-            if behaviour.buffer_bytes:
-                sock.setsockopt(
-                    socket.SOL_SOCKET,
-                    socket.SO_RCVBUF,
-                    behaviour.buffer_bytes,
-                )
-            sock.connect(("127.0.0.1", self._port))
-            if behaviour.reads:
-                self._senders.append(gevent.spawn(self._read, sock))
-            sock.sendall(behaviour.opening)
-            sent = 0
-            while sent < behaviour.amount:
-                sock.sendall(behaviour.filler)
-                sent += len(behaviour.filler)
-                # A send that doesn't block doesn't yield either.
-                gevent.sleep(behaviour.pause_s)
-        except OSError:
-            return
+            self._socks.add(sock)
+            try:
+                self._send(sock, behaviour, port)
+            except OSError:
+                pass
+            if not self._comes_back:
+                return
+            self._socks.remove(sock)
+            sock.close()
+            gevent.sleep(RETURN_S)
+
+    def _send(self, sock, behaviour, port):
+        if behaviour.buffer_bytes:
+            sock.setsockopt(
+                socket.SOL_SOCKET, socket.SO_RCVBUF, behaviour.buffer_bytes
+            )
+        sock.connect(("127.0.0.1", port))
+        self.accepted += 1
+        if behaviour.reads:
+            self._senders.append(gevent.spawn(self._read, sock))
+        sock.sendall(behaviour.opening)
+        sent = 0
+        while sent < behaviour.amount:
+            sock.sendall(behaviour.filler)
+            sent += len(behaviour.filler)
+            # A send that doesn't block doesn't yield either.
+            gevent.sleep(behaviour.pause_s)
 
     @staticmethod
     def _read(sock):
--- a/tests/clients/processes.py
+++ b/tests/clients/processes.py
@@ -54,12 +54,19 @@
         environment: Further variables of its environment.
         log_path: File for its output.
         descriptors: Descriptors that it takes over.
+        max_fds: Descriptors that the system lets it open, 0 for the usual.
     """
 
-    def __init__(self, *, words, environment, log_path, descriptors=()):
+    def __init__(
+        self, *, words, environment, log_path, descriptors=(), max_fds=0
+    ):
+        command = [sys.executable, "-m", *words]
+        if max_fds:
+            limit = f'ulimit -n {max_fds}; exec "$@"'
+            command = ["sh", "-c", limit, "sh", *command]
         with open(log_path, "wb") as output:
             self._process = subprocess.Popen(
-                [sys.executable, "-m", *words],
+                command,
                 env={**os.environ, **environment},
                 stdout=output,
                 stderr=output,
@@ -142,14 +149,22 @@
         fleet: Further settings of the fleet.
         config: Configuration in the store.
         starts: Whether it is started at once.
+        max_fds: Descriptors that the system lets it open, 0 for the usual.
     """
 
     EXPECTED = {"front": 200, "ready": 200, "metrics": 200, "peers": 404}
 
     def __init__(
-        self, *, folder, fleet=None, config=standin.CONFIG, starts=True
+        self,
+        *,
+        folder,
+        fleet=None,
+        config=standin.CONFIG,
+        starts=True,
+        max_fds=0,
     ):
         self.process = None
+        self._max_fds = max_fds
         self.store, address = start_store(
             [["keyed.op", "config", {**config, "limits": LIMITS}]], folder
         )
@@ -183,6 +198,7 @@
             words=["chervilcove.platform"],
             environment={"CHERVILCOVE_NODE_FILE": str(path)},
             log_path=self._folder / "entry.log",
+            max_fds=self._max_fds,
         )
 
     def wait_ready(self):
@@ -213,11 +229,16 @@
 
 
 class OwnEntry:
-    """An entry of the own interface, with log and list in this process."""
+    """An entry of the own interface, with log and list in this process.
+
+    Args:
+        folder: Folder for its files.
+        max_fds: Descriptors that the system lets it open, 0 for the usual.
+    """
 
     EXPECTED = {"entry": 200}
 
-    def __init__(self, *, folder):
+    def __init__(self, *, folder, max_fds=0):
         self._log = log.LogService()
         self._list = instances.InstanceList()
         self._log.start()
@@ -239,6 +260,7 @@
             words=["chervilcove", "entry", "--settings", str(path)],
             environment={},
             log_path=folder / "entry.log",
+            max_fds=max_fds,
         )
 
     def wait_ready(self):
@@ -260,3 +282,38 @@
 def _split(address):
     host, port = address.rsplit(":", 1)
     return {"host": host, "port": int(port)}
+
+
+class Program:
+    """A program of the command line that listens on one port.
+
+    Args:
+        words: Command and options; "{port}" stands for the port.
+        path: Path that an ordinary request gets.
+        folder: Folder for its files.
+    """
+
+    EXPECTED = {"port": 200}
+
+    def __init__(self, *, words, path, folder):
+        (port,) = find_free_ports(1)
+        self.ports = {"port": port}
+        self._path = path
+        self.process = Process(
+            words=["chervilcove", *(word.format(port=port) for word in words)],
+            environment={},
+            log_path=folder / "program.log",
+        )
+
+    def wait_ready(self):
+        waits.wait_until(
+            lambda: self.answers() == self.EXPECTED,
+            max_polls=START_POLLS,
+            describe=lambda: "the program is not ready",
+        )
+
+    def answers(self):
+        return {"port": ask(self.ports["port"], self._path)}
+
+    def stop(self):
+        self.process.stop()
