Bounded the connections of clients by the descriptors that the system allows.

Where fleet.max_fds isn't set, or is above what the system lets a process open, a crowd could take all descriptors of an entry; the own interface had no bound of its own but 4,096 connections. Ordinary requests then got no answer, and the entry could open no connection to its store. The limit of the system (ulimit -n) now holds as well; the own interface takes 1/3 of it for callers and 1/8 for heartbeats. A limit of 1,024 allows 341 and 128.

--- a/chervilcove/core/web_limits.py
+++ b/chervilcove/core/web_limits.py
@@ -5,6 +5,7 @@
 each figure.
 """
 
+import resource
 from typing import NamedTuple
 
 # Share of the machine's memory and descriptors that clients may use. The rest
@@ -14,6 +15,7 @@
 # Memory of one connection: its greenlet, buffer, head and a small body.
 CONNECTION_BYTES = 65_536
 UNKNOWN_CONNECTIONS = 1_024
+DEFAULT_CONNECTIONS = 4_096
 UNKNOWN_BODY_BYTES = 16 * 1024 * 1024
 MIN_CONNECTIONS = 4
 # A body of 8 MiB has this much in chunk lines if its chunks have 1 KiB.
@@ -61,7 +63,7 @@
         body_bytes: Bytes of bodies above 16 KiB that are read or executed.
     """
 
-    connections: int = 4_096
+    connections: int = DEFAULT_CONNECTIONS
     body_bytes: int = UNKNOWN_BODY_BYTES
 
     @property
@@ -75,6 +77,31 @@
         return max(1, self.calls * 7 // 8)
 
 
+def find_max_fds(stated: int = 0) -> int:
+    """Return how many descriptors this process may open, 0 if unbounded.
+
+    Args:
+        stated: Number in the settings, 0 if unknown.
+    """
+    allowed, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    if allowed == resource.RLIM_INFINITY:
+        return stated
+    return min(stated or allowed, allowed)
+
+
+def bound_connections(count: int, *, share: float) -> int:
+    """Return `count`, less where the system allows few descriptors.
+
+    Args:
+        count: Connections of one server.
+        share: Share of the descriptors that this server may use.
+    """
+    max_fds = find_max_fds()
+    if not max_fds:
+        return count
+    return max(MIN_CONNECTIONS, min(count, int(max_fds * share)))
+
+
 def compute_capacity(
     *, memory_mb: int, max_fds: int, share: float, max_body_bytes: int
 ) -> Capacity:
--- a/chervilcove/entry/core.py
+++ b/chervilcove/entry/core.py
@@ -36,6 +36,10 @@
 from chervilcove.scheduling import conf as policies
 from chervilcove.scheduling import policy
 
+# Share of the descriptors for connections of clients. Each request may need
+# one more to a backend server.
+CLIENT_SHARE = 1 / 3
+
 
 class Entry:
     """Run one entry of the system.
@@ -127,7 +131,12 @@
             host=settings["entry"]["host"],
             port=settings["entry"]["port"],
             name="entry",
-            capacity=web_limits.Capacity(body_bytes=web.MAX_BODY_BYTES),
+            capacity=web_limits.Capacity(
+                connections=web_limits.bound_connections(
+                    web_limits.DEFAULT_CONNECTIONS, share=CLIENT_SHARE
+                ),
+                body_bytes=web.MAX_BODY_BYTES,
+            ),
             metrics=self.metrics,
         )
         self._add_routes()
--- a/chervilcove/membership/peers.py
+++ b/chervilcove/membership/peers.py
@@ -83,7 +83,11 @@
                 idle_timeout_s=conf.IDLE_CONNECTION_TIMEOUT_S,
                 keep_s=conf.IDLE_CONNECTION_TIMEOUT_S,
             ),
-            capacity=web_limits.Capacity(connections=conf.MAX_PEERS * 2),
+            capacity=web_limits.Capacity(
+                connections=web_limits.bound_connections(
+                    conf.MAX_PEERS * 2, share=conf.PEER_SHARE
+                )
+            ),
             metrics=metrics,
         )
         self._server = _HeartbeatServer(
--- a/chervilcove/platform/core.py
+++ b/chervilcove/platform/core.py
@@ -239,7 +239,7 @@
     share, max_body_bytes = PORTS[name]
     return web_limits.compute_capacity(
         memory_mb=fleet["memory_mb"],
-        max_fds=fleet["max_fds"],
+        max_fds=web_limits.find_max_fds(fleet["max_fds"]),
         share=share,
         max_body_bytes=max_body_bytes,
     )
