--- a/tests/clients/crowd.py
+++ b/tests/clients/crowd.py
@@ -56,6 +56,7 @@
 
 _CHUNKED = b"Transfer-Encoding: chunked"
 _GET = _head(b"GET /batch/ HTTP/1.1") + b"\r\n"
+_PAGE = _head(b"GET /status HTTP/1.1") + b"\r\n"
 _STATUS = _head(b"GET /v1/status HTTP/1.1") + b"\r\n"
 
 
@@ -146,6 +147,9 @@
     "status_not_taken": Behaviour(
         b"", _STATUS * 500, 16 * MIB, buffer_bytes=4_096, count=10
     ),
+    "page_not_taken": Behaviour(
+        b"", _PAGE * 500, 16 * MIB, buffer_bytes=4_096, count=10
+    ),
     "status_pipelined": Behaviour(
         b"", _STATUS * 50, 256 * 1024, reads=True, count=10
     ),
