--- a/tests/clients/processes.py
+++ b/tests/clients/processes.py
@@ -1,5 +1,6 @@
 """Processes of the system that a crowd meets, and what they use."""
 
+import base64
 import json
 import os
 import socket
@@ -12,6 +13,7 @@
 from chervilcove.conf import global_settings
 from chervilcove.core import errors
 from chervilcove.core import http
+from chervilcove.jobs import records
 from chervilcove.standins import instances
 from chervilcove.standins import log
 from tests import waits
@@ -119,15 +121,19 @@
         peer.close()
 
 
-def start_store(records, folder):
-    """Start a store that holds `records`; return it and its address.
+def start_store(contents, folder):
+    """Start a store that holds `contents`; return it and its address.
 
     Args:
-        records: Lists of topic, key and value.
+        contents: Topic, key and value of each record.
         folder: Folder for its files.
     """
     path = folder / "store.json"
-    path.write_text(json.dumps(records))
+    rows = [
+        (topic, key, base64.b64encode(value).decode())
+        for topic, key, value in contents
+    ]
+    path.write_text(json.dumps(rows))
     with socket.socket() as listener:
         listener.bind(("127.0.0.1", 0))
         listener.listen()
@@ -148,6 +154,7 @@
         folder: Folder for its files.
         fleet: Further settings of the fleet.
         config: Configuration in the store.
+        jobs: Submissions in the store.
         starts: Whether it is started at once.
         max_fds: Descriptors that the system lets it open, 0 for the usual.
     """
@@ -160,13 +167,26 @@
         folder,
         fleet=None,
         config=standin.CONFIG,
+        jobs=(),
         starts=True,
         max_fds=0,
     ):
         self.process = None
         self._max_fds = max_fds
+        content = json.dumps({**config, "limits": LIMITS}).encode()
         self.store, address = start_store(
-            [["keyed.op", "config", {**config, "limits": LIMITS}]], folder
+            [
+                ("keyed.op", "config", content),
+                *(
+                    (
+                        "keyed.ledger",
+                        records.build_key(records.Kind.JOB, job.job),
+                        records.encode_value(job),
+                    )
+                    for job in jobs
+                ),
+            ],
+            folder,
         )
         names = ("front", "ready", "metrics", "peers")
         self.ports = dict(zip(names, find_free_ports(4), strict=True))
--- a/tests/clients/store.py
+++ b/tests/clients/store.py
@@ -4,9 +4,10 @@
 entry only when the crowd lets it, and an entry whose reads fail isn't ready.
 
 `FD` is the descriptor of the listening socket. `PATH` is a JSON file with a
-list of [topic, key, value].
+list of [topic, key, value in Base64].
 """
 
+import base64
 import json
 import pathlib
 import socket
@@ -16,12 +17,16 @@
 
 from tests.platform import standin
 
+PAGE_SIZE = 500
+
 
 def main():
     descriptor, path = sys.argv[1:]
     store = standin.Store(listener=socket.socket(fileno=int(descriptor)))
+    store.page_size = PAGE_SIZE
     for topic, key, value in json.loads(pathlib.Path(path).read_text()):
-        store.put(topic, key, value)
+        items = [(key, base64.b64decode(value))]
+        store.get_topic(topic).append(items, timeout_s=1)
     event.Event().wait()
 
 
--- a/tests/clients/test_states.py
+++ b/tests/clients/test_states.py
@@ -9,6 +9,8 @@
 import gevent
 import pytest
 
+from chervilcove.jobs import records
+from chervilcove.jobs import specs
 from tests import waits
 from tests.clients import checks
 from tests.clients import processes
@@ -19,6 +21,7 @@
 MAX_FDS = 160
 CROWDED = {"memory_mb": 160, "max_fds": MAX_FDS}
 ROUTES = 1_400
+JOBS = 2_400  # of a day
 
 
 def _wait_for_log(entry, text):
@@ -91,22 +94,35 @@
             assert process.wait() == 0
         assert process.read_log_kb() < checks.LOG_KB
 
-    def test_a_configuration_of_many_routes(self, tmp_path):
+    @pytest.mark.parametrize("job_count", [0, JOBS])
+    def test_a_configuration_of_many_routes(self, tmp_path, job_count):
         (route,) = standin.CONFIG["routes"]
+        names = [*(f"r-{number}" for number in range(1, ROUTES)), "last"]
         config = {
             **standin.CONFIG,
             "routes": [
-                {**route, "name": f"r-{number}", "path_prefix": f"/r{number}/"}
-                for number in range(ROUTES - 1)
+                {**route, "name": name, "path_prefix": f"/{name}/"}
+                for name in names[:-1]
             ]
-            + [{**route, "name": "r-last"}],
+            + [{**route, "name": names[-1]}],
         }
+        spec = specs.JobSpec(
+            payload="", steps=(specs.Step(11, specs.Resources(500, 1_000, 1)),)
+        )
+        jobs = [
+            records.Submission(
+                f"{number:016x}", names[number % ROUTES], "pool", "t", 1, spec
+            )
+            for number in range(job_count)
+        ]
         entry = processes.PlatformEntry(
             folder=tmp_path,
             fleet=processes.choose_known(SMALLEST),
             config=config,
+            jobs=jobs,
         )
         with checks.run(entry):
+            assert f" jobs={job_count} " in entry.process.read_log()
             base = entry.process.count_descriptors()
             with checks.gather(entry) as crowd:
                 checks.wait_for_rounds(
--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -156,12 +156,14 @@
     Attributes:
         refuse_with: Status with which every request is refused, 0 to serve it.
         unreadable_topics: Topics whose reads are refused.
+        page_size: Keys in a page of the newest records.
     """
 
     def __init__(self, listener=None):
         self.topics = {}
         self.refuse_with = 0
         self.unreadable_topics = set()
+        self.page_size = 2
         self.server = web.WebServer(host="127.0.0.1", listener=listener)
         self.server.add_route("POST", "/log-append", self._append)
         self.server.add_route("GET", "/log-read", self._read)
@@ -218,7 +220,7 @@
         return web.WebResponse(200, body, "application/octet-stream")
 
     def _newest(self, request):
-        """Return the newest records in pages of two keys."""
+        """Return the newest records in pages."""
         if self.refuse_with:
             return web.WebResponse(self.refuse_with, b"{}")
         chunk = self.get_topic(request.query["topic"]).read_newest(timeout_s=1)
@@ -232,9 +234,9 @@
                     "value": base64.b64encode(record.value).decode(),
                     "offset": record.offset,
                 }
-                for record in remaining[:2]
+                for record in remaining[: self.page_size]
             ],
-            "has_more": len(remaining) > 2,
+            "has_more": len(remaining) > self.page_size,
             "end_offset": chunk.end_offset,
         }
 
