--- a/tests/clients/store.py
+++ b/tests/clients/store.py
@@ -8,6 +8,7 @@
 """
 
 import base64
+import collections
 import json
 import pathlib
 import socket
@@ -15,6 +16,7 @@
 
 from gevent import event
 
+from chervilcove.standins import ledger as ledgers
 from tests.platform import standin
 
 PAGE_SIZE = 500
@@ -22,11 +24,15 @@
 
 def main():
     descriptor, path = sys.argv[1:]
-    store = standin.Store(listener=socket.socket(fileno=int(descriptor)))
-    store.page_size = PAGE_SIZE
+    # Complete before the first read, which may come at once.
+    topics = collections.defaultdict(ledgers.MemoryLedger)
     for topic, key, value in json.loads(pathlib.Path(path).read_text()):
         items = [(key, base64.b64decode(value))]
-        store.get_topic(topic).append(items, timeout_s=1)
+        topics[topic].append(items, timeout_s=1)
+    store = standin.Store(
+        listener=socket.socket(fileno=int(descriptor)), topics=topics
+    )
+    store.page_size = PAGE_SIZE
     event.Event().wait()
 
 
--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -159,8 +159,8 @@
         page_size: Keys in a page of the newest records.
     """
 
-    def __init__(self, listener=None):
-        self.topics = {}
+    def __init__(self, listener=None, topics=None):
+        self.topics = topics or {}
         self.refuse_with = 0
         self.unreadable_topics = set()
         self.page_size = 2
