--- a/chervilcove/control/start_window.py
+++ b/chervilcove/control/start_window.py
@@ -17,11 +17,14 @@
 START_BYTES = 700
 MAX_SIZE = 512
 MIN_SIZE = 4
+# Least size in parts of what the link carries by the settings: answers to so
+# few starts are late for another reason, as a busy processor.
+LEAST_SHARE = 1 / 8
 PROMPT_S = 0.05  # workers answer in milliseconds
 LATE_S = 0.1  # starts under way then wait for up to twice as long
 SAMPLES = 12  # answers of as many workers decide
 SAMPLE_AGE_S = 3.0  # older answers don't count
-STEP = 4  # by which the window grows in the time of one answer, once it shrank
+GROWTH = 0.25  # of the window in the time of one answer, once it shrank
 
 
 class StartWindow:
@@ -32,7 +35,11 @@
     """
 
     def __init__(self, *, link_mbps: float = 0.0):
-        self._size = _compute_initial_size(link_mbps)
+        carried = _count_carried_starts(link_mbps)
+        self._size = _limit(carried)
+        self._least_size = (
+            _limit(carried * LEAST_SHARE) if link_mbps else float(MIN_SIZE)
+        )
         # The window doubles in the time of an answer below this size.
         self._doubles_below = float("inf")
         self._reduced_at = float("-inf")
@@ -75,21 +82,24 @@
             self._shrink(middle_s)
 
     def _grow(self) -> None:
-        step = 1.0 if self._size < self._doubles_below else STEP / self._size
-        self._size = min(float(MAX_SIZE), self._size + step)
+        step = 1.0 if self._size < self._doubles_below else GROWTH
+        self._size = _limit(self._size + step)
 
     def _shrink(self, delay_s: float) -> None:
         """Halve the window, once for what was sent before the last time."""
         now = time.monotonic()
         if now - self._reduced_at > 2 * delay_s:
             self._reduced_at = now
-            self._size = max(float(MIN_SIZE), self._size / 2)
+            self._size = max(self._least_size, self._size / 2)
             self._doubles_below = self._size
 
 
-def _compute_initial_size(link_mbps: float) -> float:
+def _count_carried_starts(link_mbps: float) -> float:
+    """Return how many starts pass a link in `INITIAL_S`."""
     if not link_mbps:
-        return float(UNKNOWN_LINK_SIZE)
-    bytes_per_s = link_mbps * 1e6 / 8
-    starts = bytes_per_s * INITIAL_S / START_BYTES
-    return float(min(MAX_SIZE, max(MIN_SIZE, int(starts))))
+        return UNKNOWN_LINK_SIZE
+    return link_mbps * 1e6 / 8 * INITIAL_S / START_BYTES
+
+
+def _limit(size: float) -> float:
+    return min(float(MAX_SIZE), max(float(MIN_SIZE), size))
--- a/tests/control/test_start_window.py
+++ b/tests/control/test_start_window.py
@@ -84,6 +84,18 @@
             )
         assert window.size == before
 
+    # With 1,000 workers the owner's processor made answers late, and the window
+    # shrank to 4 on a link of 100 Mbit/s.
+    def test_it_keeps_a_part_of_what_the_link_carries(self, monkeypatch):
+        window = start_window.StartWindow(link_mbps=100.0)
+        now = time.monotonic()
+        for step in range(10):
+            monkeypatch.setattr(
+                time, "monotonic", lambda step=step: now + 10 * step
+            )
+            record(window, 20, 0.3)
+        assert window.size == 223
+
     def test_a_window_that_shrank_grows_slowly(self, window):
         record(window, 20, 0.3)
         shrunk = window.size
