Planned rounds also while enough starts are under way.

While the start window was full, no round was planned, so that nothing was stopped for a guaranteed job either, and reservations and shares stood still. Rounds are planned as before now, and only their starts are cut, the most urgent first. No test of its own.

--- a/chervilcove/control/owners.py
+++ b/chervilcove/control/owners.py
@@ -776,10 +776,6 @@
         if self._follower.reachable_since is None or self.writer.is_behind:
             return
         allowed = self._commands.count_allowed_starts(self._ordered_tasks)
-        if allowed <= 0:
-            self._metrics.count("rounds.skipped.starts_under_way")
-            self._commands.record_full_window()
-            return
         plan = self._planner.plan(operations)
         self._metrics.record_time("rounds", time.monotonic() - began)
         self._metrics.set_gauge("fleet.open_jobs", len(self._table.open_jobs))
@@ -796,6 +792,7 @@
         for start in plan.starts:
             if allowed <= 0:
                 # The rest is planned again, in the order of need.
+                self._metrics.count("rounds.cut")
                 self._commands.record_full_window()
                 break
             allowed -= len(start.workers)
--- a/chervilcove/core/catalogue.py
+++ b/chervilcove/core/catalogue.py
@@ -155,9 +155,10 @@
         "Search the log of the owner for `source=notices event=feed_lost`.",
     ),
     Metric(
-        "rounds.skipped.starts_under_way",
+        "rounds.cut",
         "counter",
-        "Rounds that decide nothing, as enough starts are under way.",
+        "Rounds that start less than they planned, as enough starts are under"
+        " way.",
         "Steady: the link or processor of the owner is full; search its log"
         " for `link_used`.",
     ),
