Gave the owners of the simulated entries their counter of traffic.

tests/control/test_lease_clocks.py and the other plays in simulated time hung: their owner lacked an argument that it needs since, and was created again and again. No check changed.

--- a/tests/control/lease_entries.py
+++ b/tests/control/lease_entries.py
@@ -10,6 +10,7 @@
 from chervilcove.control import owners
 from chervilcove.core import errors
 from chervilcove.core import metrics as metric_values
+from chervilcove.core import traffic
 from chervilcove.jobs import configuration
 from chervilcove.jobs import records
 from tests.control import lease_world
@@ -143,6 +144,7 @@
             on_deposed=self.election.step_down,
             values=deployment_values.DeploymentValues(),
             metrics=self.metrics,
+            traffic=traffic.Traffic(metrics=self.metrics),
         )
         self.owner.start()
 
