--- a/chervilcove/conf/global_settings.py
+++ b/chervilcove/conf/global_settings.py
@@ -237,7 +237,7 @@
             le=16_777_216,
             description="Rate of the machine's link, Mbit/s; 0 if unknown."
             " Entries whose link is too small for the fleet become the owner"
-            " last.",
+            " last; it bounds starts and the size of appends.",
         ),
     ]
 
