Review: one hopeless job closes all minions (case 12)

Cause: two failed tasks of one job on a minion quarantine it, and a job that fails everywhere does so on all minions of the pool at once.

--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -6,7 +6,7 @@
 PYTHONPATH=".:target/deps:review/shared-3" PYTHONDONTWRITEBYTECODE=1 python3 - <<'CHECK'
 import tests.processes.store
 import tests.processes.workers
-import sharing_minions
+import minions
 import world
 CHECK
 echo "stand-ins of review 3: ready"
--- a/review/shared-3/sharing_minions.py
+++ b/review/shared-3/minions.py
@@ -1,9 +1,10 @@
-"""Program: minions on which tasks that serve share with tasks that fill.
+"""Program: minions with tasks that share, and with tasks that always fail.
 
 The stand-in of the project (`tests/processes/workers.py`) with what PROTOCOL.md
 says of sharing: `POST /pace`, the fifth entry of each row of `running`, and the
 progress of tasks that fill at their pace. The tail of the serving tasks is set
-by the control command `tail`.
+by the control command `tail`. A task whose `spec` has `fails` ends `failed` by
+its own fault on any minion, after half of its time.
 """
 
 import argparse
@@ -17,6 +18,19 @@
 from tests.processes import workers
 
 
+class Book(jobs.JobBook):
+    """What the tasks do; some fail wherever they run."""
+
+    def find(self, task, run, spec):
+        """Return the work of one run of a task."""
+        work = super().find(task, run, spec)
+        try:
+            fails = bool(json.loads(spec).get("fails"))
+        except (ValueError, AttributeError):
+            fails = False
+        return work._replace(fails=fails)
+
+
 class SharingFleet(fleet.Fleet):
     """Minions whose filling tasks advance at their pace."""
 
@@ -124,7 +138,7 @@
     SharingProgram(
         place=layout.from_options(options),
         recorder=record.Recorder(options.run_folder, "workers"),
-        book=jobs.JobBook(folder=options.run_folder, fail_share=0.0),
+        book=Book(folder=options.run_folder, fail_share=0.0),
         seed=options.seed,
         stop_s=options.stop_ms / 1000 * 0.8,
     ).run()
--- a/review/shared-3/world.py
+++ b/review/shared-3/world.py
@@ -58,13 +58,15 @@
         workers: Number of minions.
         zones: Number of zones.
         minions: Words that start the minions.
+        bounds: Bounds that differ from those of the site nln-cluster.
     """
 
     def __init__(
-        self, folder, *, entries=3, workers=6, zones=3, minions=MINIONS
+        self, folder, *, entries=3, workers=6, zones=3, minions=MINIONS, bounds=None
     ):
         self.entries, self.workers, self.zones = entries, workers, zones
         self._minions = minions
+        self._bounds = {**BOUNDS, **(bounds or {})}
         self.trouble = os.environ.get("TROUBLE", "1") != "0"
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="review-"))
         self._record = open(pathlib.Path(folder) / "record.txt", "w")
@@ -101,7 +103,7 @@
         self._spawn(
             "workers",
             ["python3", *self._minions],
-            [*options, "--stop-ms", str(BOUNDS["stop_ms"])],
+            [*options, "--stop-ms", str(self._bounds["stop_ms"])],
         )
         self._wait(lambda: self.control("workers", "status"), 15, "minions")
         for entry in range(self.entries):
@@ -202,7 +204,7 @@
             "port_range": [7000, 7015],
             "listen": {"front": f"{host}:{FRONT}", "ready": f"{host}:{READY}"},
             "platform": {"addr": f"127.{self._block}.1.{10 + entry}:{STORE}"},
-            "bounds": BOUNDS,
+            "bounds": self._bounds,
             "limits": LIMITS,
         }
 
