Review: paced tasks count as a fault of their minion (case 14)

Cause: a filling task that the owner itself has halted counts as standing still, and its minion rests. Change: review/14 with its script.

--- /dev/null
+++ b/review/14/run.sh
@@ -0,0 +1,2 @@
+#!/bin/sh
+exec python3 "$(dirname "$0")/case.py"
