--- a/review/12/case.py
+++ b/review/12/case.py
@@ -1,4 +1,4 @@
-"""One job that can never be done closes all minions to everybody's jobs."""
+"""Jobs that can never be done close all minions to everybody's jobs."""
 
 import json
 import pathlib
@@ -10,14 +10,16 @@
 sys.path.insert(0, str(SHARED))
 import world as worlds  # noqa: E402
 
-MINIONS = 24
+MINIONS, GPUS = 24, 8
 # The site file: poison, share 0.05 to 0.062 of the jobs, for_s 3.0; the width
-# of `reminder-batch` is 94 at most, and part of its jobs are kept apart.
+# of `reminder-batch` is 94 at most, and part of its jobs are kept apart. It may
+# come more than once.
 POISON_TASKS, POISON_APART = 48, 2
 JOBS = 19  # beside the one that can't be done: a share of 0.05
 SPREAD_S = 3.0
-WAIT_S = 3.0  # LOST: for 3 s, a job has nothing running
-POISON = "00000000000000f1"
+SPELLS_AT = (0.0, 7.0, 20.0)
+WORK_MS = 6800  # as `hardness-survey`
+FINISH_S, WAIT_S = 14.0, 3.0
 POISON_STEPS = [
     {
         "count": POISON_TASKS,
@@ -28,7 +30,9 @@
         "anti_affinity": POISON_APART,
     }
 ]
-STEPS = [{"count": 1, "cpu": 1000, "mem_mb": 1000, "gpu": 1, "est_ms": 2500}]
+STEPS = [
+    {"count": 1, "cpu": 40000, "mem_mb": 1000, "gpu": 1, "est_ms": WORK_MS}
+]
 
 
 def submit(world, job, steps, queue, spec):
@@ -40,19 +44,34 @@
 
 
 def play(world):
+    """Play the case; return whether the rule was broken."""
     began = time.monotonic()
-    spec = {"work_ms": 1000, "fails": world.trouble}
-    submit(world, POISON, POISON_STEPS, "batch", spec)
     handed_in = []
-    for number in range(JOBS):
-        at = began + (number + 1) * SPREAD_S / JOBS
-        time.sleep(max(0.0, at - time.monotonic()))
-        job = f"{number:016x}"
-        submit(world, job, STEPS, "usual", {"work_ms": 2500})
-        handed_in.append((job, time.monotonic()))
-    time.sleep(9.0)
-    world.note_runs(POISON)
+    for spell, spell_at in enumerate(SPELLS_AT):
+        time.sleep(max(0.0, began + spell_at - time.monotonic()))
+        poison = f"{spell:08x}000000f1"
+        spec = {"work_ms": 1000, "fails": world.trouble}
+        submit(world, poison, POISON_STEPS, "batch", spec)
+        for number in range(JOBS):
+            at = began + spell_at + (number + 1) * SPREAD_S / (JOBS + 1)
+            time.sleep(max(0.0, at - time.monotonic()))
+            job = f"{spell:08x}{number:08x}"
+            submit(world, job, STEPS, "usual", {"work_ms": WORK_MS})
+            handed_in.append((job, time.monotonic()))
+    # The traffic has ended; nothing else happens from here on.
+    asked = time.monotonic() + FINISH_S
+    world.note("end of the traffic")
+    time.sleep(FINISH_S + WAIT_S + 1.0)
     events = world.read_events("start", "end")
+    running = most = 0
+    for one in events:
+        if one["at"] > asked + WAIT_S:
+            break
+        running += 1 if one["kind"] == "start" else -1
+        if one["at"] <= asked:
+            most = running
+        most = max(most, running)
+    world.note(f"at most {most} of {GPUS * MINIONS} GPUs in use from", asked)
     is_broken = False
     for job, at in handed_in:
         starts = [
@@ -60,18 +79,10 @@
             for one in events
             if one["kind"] == "start" and one["task"].startswith(job)
         ]
-        begun = starts[0] if starts else time.monotonic()
-        # The GPUs in use when it had waited for 3 s, of 8 on each minion.
-        running = 0
-        for one in events:
-            if one["at"] <= at + WAIT_S:
-                running += 1 if one["kind"] == "start" else -1
-        world.note(
-            f"{job}: nothing running for {begun - at:.2f} s; after 3 s "
-            f"{running} of {8 * MINIONS} GPUs in use",
-            at,
-        )
-        if begun - at > WAIT_S and running * 2 < 8 * MINIONS:
+        begun = f"begun {starts[0] - at:.2f} s later" if starts else "not begun"
+        world.note(f"{job}: {begun}", at)
+        waits = not starts or starts[0] > asked + WAIT_S
+        if waits and most * 2 < GPUS * MINIONS:
             is_broken = True
     return is_broken
 
--- a/review/14/case.py
+++ b/review/14/case.py
@@ -1,4 +1,4 @@
-"""Sound minions get no work, since the system itself halts what fills there."""
+"""Tasks start on a minion long after it was known to drain."""
 
 import json
 import pathlib
@@ -6,113 +6,73 @@
 import time
 
 FOLDER = pathlib.Path(__file__).resolve().parent
-SHARED = FOLDER.parent / "shared-3"
-sys.path.insert(0, str(SHARED))
+sys.path.insert(0, str(FOLDER.parent / "shared-3"))
 import world as worlds  # noqa: E402
 
-MINIONS = 6
-BURST_S = 6.0  # the site file: burst, visit-booking, for_s 6.0
-TARGET_MS = 100
-CALM_TAIL_MS, BURST_TAIL_MS = 40, 180
-WAIT_S = 3.0  # LOST: for 3 s, a job has nothing running
-SERVE = "00000000000000a1"
-SERVE_STEPS = [
-    {
-        "count": MINIONS,
-        "cpu": 4000,
-        "mem_mb": 1000,
-        "anti_affinity": 1,
-        "persistent": True,
-        "image_ref": "web",
-        "target_ms": TARGET_MS,
-    }
-]
-FILL = "00000000000000b1"
-FILL_STEPS = [
-    {
-        "count": MINIONS,
-        "cpu": 8000,
-        "mem_mb": 1000,
-        "anti_affinity": 1,
-        "fill_count": 1,
-        "image_ref": "batch",
-        "est_ms": 100000,
-    }
-]
-JOB_STEPS = [{"count": 1, "cpu": 1000, "mem_mb": 1000, "gpu": 1, "est_ms": 2500}]
-
-
-def submit(world, job, steps, queue, work_ms):
-    """Hand a job in; it must be accepted."""
-    world.announce(job, steps)
-    body = {"spec": json.dumps({"work_ms": work_ms}), "steps": steps}
-    if world.ask(0, "POST", f"/{queue}/{job}", body)[0] != 200:
-        raise worlds.CannotRunError("a job was not accepted")
-
-
-def list_starts(world, job):
-    """Return the starts of a job's tasks."""
-    return [
-        one for one in world.read_events("start") if one["task"].startswith(job)
-    ]
-
-
-def wait_for_starts(world, job, count, seconds):
-    """Wait until so many tasks of a job have started; return whether."""
-    until = time.monotonic() + seconds
-    while time.monotonic() < until:
-        if len(list_starts(world, job)) >= count:
-            return True
-        time.sleep(0.05)
-    return False
+# The site nln-cluster-grown, but for the number of entries.
+MINIONS = 128
+ZONES = 4
+BOUNDS = {"config_apply_ms": 3000, "max_stretch_ms": 6000}
+DRAIN_MS = 3000
+RACKS = ("r0-0", "r1-0")  # 8 minions each; 16 of 128 are a share of 0.125
+MUTE_S = 4.0  # srv_grey: share 0.14, for_s 6.5
+LEAVING = 4  # scale_in: share 0.065, here 0.031
+LINGER_S = 10.0  # drain_ms, and linger_ms 7000 of the site file
+STEPS = [{"count": 64, "cpu": 1000, "mem_mb": 1000, "gpu": 1, "est_ms": 2500}]
 
 
 def play(world):
-    world.control("workers", "tail", ms=CALM_TAIL_MS)
-    submit(world, SERVE, SERVE_STEPS, "usual", 1)
-    submit(world, FILL, FILL_STEPS, "batch", 100000)
-    for job in (SERVE, FILL):
-        if not wait_for_starts(world, job, MINIONS, 10):
-            raise worlds.CannotRunError("the tasks did not start")
-    world.note("each minion has one task that serves and one that fills")
-    time.sleep(6.0)
-    began = time.monotonic()
+    """Play the case; return whether the rule was broken."""
+    muted = [
+        number
+        for number in range(MINIONS)
+        if f"r{number % ZONES}-{number // ZONES // 8}" in RACKS
+    ]
+    leaving = muted[:LEAVING]
+    keys = [
+        f"{entry}:{number}"
+        for entry in range(world.entries)
+        for number in muted
+    ]
     if world.trouble:
-        world.control("workers", "tail", ms=BURST_TAIL_MS)
-        world.note(f"the tasks that serve are at {BURST_TAIL_MS} ms")
-    handed_in = []
-    # One small job a second, on minions with 8 free GPUs each.
-    for number in range(12):
-        time.sleep(max(0.0, began + number - time.monotonic()))
-        if world.trouble and number == int(BURST_S):
-            world.control("workers", "tail", ms=CALM_TAIL_MS)
-            world.note(f"the tasks that serve are at {CALM_TAIL_MS} ms")
+        world.control(
+            "workers", "set", keys=keys, fault="mute", layer={"silent": True}
+        )
+        world.note(f"{len(muted)} of {MINIONS} minions answer nothing")
+    began = time.monotonic()
+    for number, rack in enumerate(RACKS):
         job = f"{number:016x}"
-        submit(world, job, JOB_STEPS, "usual", 2500)
-        handed_in.append((job, time.monotonic()))
-    time.sleep(WAIT_S + 1.0)
-    for event in world.read_events("pace"):
+        steps = [{**STEPS[0], "requires": rack}]
+        world.announce(job, steps)
+        body = {"spec": json.dumps({"work_ms": 2500}), "steps": steps}
+        if world.ask(0, "POST", f"/usual/{job}", body)[0] != 200:
+            raise worlds.CannotRunError("a job was not accepted")
+    time.sleep(0.1)
+    world.control("workers", "drain", numbers=leaving, seconds=LINGER_S)
+    time.sleep(max(0.0, began + MUTE_S - time.monotonic()))
+    if world.trouble:
+        world.control("workers", "set", keys=keys, fault="mute", layer=None)
+        world.note("the minions answer again")
+    time.sleep(8.0)
+    said = {one["worker"]: one["at"] for one in world.read_events("draining")}
+    is_broken = False
+    for event in world.read_events("start"):
+        at = said.get(event["worker"])
+        if at is None:
+            continue
         world.note(
-            f"minion {event['worker']}: pace {event['pct']} {event['task']}",
+            f"minion {event['worker']}: start {event['task']} "
+            f"run {event['run']}, {event['at'] - at:.2f} s after its report",
             event["at"],
         )
-    is_broken = False
-    for job, at in handed_in:
-        starts = list_starts(world, job)
-        waited_s = (starts[0]["at"] if starts else time.monotonic()) - at
-        world.note(f"{job}: nothing running for {waited_s:.2f} s", at)
-        if waited_s > WAIT_S:
+        if event["at"] - at > DRAIN_MS / 1000 and not event.get("late"):
             is_broken = True
-    world.note_runs(FILL)
+    for worker, at in said.items():
+        world.note(f"minion {worker}: the store took `draining`", at)
     return is_broken
 
 
 if __name__ == "__main__":
     sys.exit(
-        worlds.run(
-            play,
-            FOLDER,
-            workers=MINIONS,
-            minions=(str(SHARED / "minions.py"),),
-        )
+        worlds.run(play, FOLDER, workers=MINIONS, zones=ZONES, bounds=BOUNDS)
     )
--- a/review/15/case.py
+++ b/review/15/case.py
@@ -1,4 +1,4 @@
-"""Tasks start on a minion long after it was known to drain."""
+"""Jobs that have not begun are missing in the `waiting` of their queue."""
 
 import json
 import pathlib
@@ -9,69 +9,91 @@
 sys.path.insert(0, str(FOLDER.parent / "shared-3"))
 import world as worlds  # noqa: E402
 
-# The site nln-cluster-grown, but for the number of entries.
-MINIONS = 128
-ZONES = 4
-BOUNDS = {"config_apply_ms": 3000, "max_stretch_ms": 6000}
-DRAIN_MS = 3000
-RACKS = ("r0-0", "r1-0")  # 8 minions each; 16 of 128 are a share of 0.125
-MUTE_S = 4.0  # srv_grey: share 0.14, for_s 6.5
-LEAVING = 4  # scale_in: share 0.065, here 0.031
-LINGER_S = 10.0  # drain_ms, and linger_ms 7000 of the site file
-STEPS = [{"count": 64, "cpu": 1000, "mem_mb": 1000, "gpu": 1, "est_ms": 2500}]
+MINIONS = 12  # one that fails is a share of 0.083; srv_grey has 0.085
+SHED_S = 6.5  # srv_grey: for_s 6.5
+VISIBLE_MS, CONTACT_MS = 3000, 3000
+JOBS = 8
+STEPS = [{"count": 1, "cpu": 1000, "mem_mb": 1000, "gpu": 1, "est_ms": 2500}]
+FILL = "00000000000000f1"
+FILL_STEPS = [
+    {
+        "count": MINIONS - 1,
+        "cpu": 1000,
+        "mem_mb": 1000,
+        "gpu": 8,
+        "est_ms": 90000,
+    }
+]
+
+
+def list_begun(world):
+    """Return the jobs of which a minion has started a task."""
+    return {one["task"].split(".")[0] for one in world.read_events("start")}
 
 
 def play(world):
-    muted = [
-        number
-        for number in range(MINIONS)
-        if f"r{number % ZONES}-{number // ZONES // 8}" in RACKS
-    ]
-    leaving = muted[:LEAVING]
-    keys = [
-        f"{entry}:{number}"
-        for entry in range(world.entries)
-        for number in muted
-    ]
+    """Play the case; return whether the rule was broken."""
+    # All minions but one are at work on a long job.
+    world.announce(FILL, FILL_STEPS)
+    body = {"spec": json.dumps({"work_ms": 90000}), "steps": FILL_STEPS}
+    if world.ask(0, "POST", f"/batch/{FILL}", body)[0] != 200:
+        raise worlds.CannotRunError("the long job was not accepted")
+    until = time.monotonic() + 10
+    busy = set()
+    while len(busy) < MINIONS - 1 and time.monotonic() < until:
+        busy = {one["worker"] for one in world.read_events("start")}
+        time.sleep(0.1)
+    if len(busy) < MINIONS - 1:
+        raise worlds.CannotRunError("the long job did not begin")
+    free = next(
+        number for number in range(MINIONS) if f"i-{number:03d}" not in busy
+    )
+    keys = [f"{entry}:{free}" for entry in range(world.entries)]
+    world.note(f"all minions are full but i-{free:03d}")
     if world.trouble:
-        world.control(
-            "workers", "set", keys=keys, fault="mute", layer={"silent": True}
-        )
-        world.note(f"{len(muted)} of {MINIONS} minions answer nothing")
+        layer = {"status": 503, "paths": ["/run-start"]}
+        world.control("workers", "set", keys=keys, fault="shed", layer=layer)
+        world.note(f"minion i-{free:03d} answers 503 to starts")
     began = time.monotonic()
-    for number, rack in enumerate(RACKS):
+    accepted = {}
+    for number in range(JOBS):
         job = f"{number:016x}"
-        steps = [{**STEPS[0], "requires": rack}]
-        world.announce(job, steps)
-        body = {"spec": json.dumps({"work_ms": 2500}), "steps": steps}
-        if world.ask(0, "POST", f"/usual/{job}", body)[0] != 200:
-            raise worlds.CannotRunError("a job was not accepted")
-    time.sleep(0.1)
-    world.control("workers", "drain", numbers=leaving, seconds=LINGER_S)
-    time.sleep(max(0.0, began + MUTE_S - time.monotonic()))
+        world.announce(job, STEPS)
+        body = {"spec": json.dumps({"work_ms": 2500}), "steps": STEPS}
+        if (
+            world.ask(number % world.entries, "POST", f"/usual/{job}", body)[0]
+            == 200
+        ):
+            accepted[job] = time.monotonic()
+    time.sleep(max(0.0, began + SHED_S - time.monotonic()))
     if world.trouble:
-        world.control("workers", "set", keys=keys, fault="mute", layer=None)
-        world.note("the minions answer again")
-    time.sleep(8.0)
-    said = {
-        one["worker"]: one["at"] for one in world.read_events("draining")
-    }
+        world.control("workers", "set", keys=keys, fault="shed", layer=None)
+        world.note(f"minion i-{free:03d} takes starts again")
+    # Ask once all are in touch again, long after the bound.
     is_broken = False
-    for event in world.read_events("start"):
-        at = said.get(event["worker"])
-        if at is None:
-            continue
-        world.note(
-            f"minion {event['worker']}: start {event['task']} "
-            f"run {event['run']}, {event['at'] - at:.2f} s after its report",
-            event["at"],
-        )
-        if event["at"] - at > DRAIN_MS / 1000 and not event.get("late"):
-            is_broken = True
-    for worker, at in said.items():
-        world.note(f"minion {worker}: the store took `draining`", at)
+    until = began + SHED_S + CONTACT_MS / 1000 + 6.0
+    time.sleep(CONTACT_MS / 1000)
+    while time.monotonic() < until:
+        for entry in range(world.entries):
+            due = time.monotonic() - VISIBLE_MS / 1000 - 2.0
+            status, answer = world.ask(entry, "GET", "/usual/")
+            if status != 200:
+                continue
+            begun = list_begun(world)
+            waiting = [
+                job
+                for job, at in accepted.items()
+                if at < due and job not in begun
+            ]
+            shown = json.loads(answer)["waiting"]
+            world.note(f"entry-{entry}: {shown} shown, {len(waiting)} wait")
+            if shown < len(waiting) / 2:
+                is_broken = True
+        time.sleep(1.0)
+    for job in accepted:
+        world.note_runs(job)
     return is_broken
 
 
 if __name__ == "__main__":
-    sys.exit(worlds.run(play, FOLDER, workers=MINIONS, zones=ZONES, bounds=BOUNDS))
+    sys.exit(worlds.run(play, FOLDER, workers=MINIONS))
--- a/review/shared-3/minions.py
+++ b/review/shared-3/minions.py
@@ -74,9 +74,7 @@
     """Serve all minions."""
 
     def __init__(self, *, recorder, book, stop_s, **options):
-        super().__init__(
-            recorder=recorder, book=book, stop_s=stop_s, **options
-        )
+        super().__init__(recorder=recorder, book=book, stop_s=stop_s, **options)
         self._fleet = SharingFleet(
             find_step=self._find_step,
             write=recorder.write,
@@ -129,6 +127,7 @@
 
 
 def main():
+    """Serve all minions until the process is ended."""
     parser = argparse.ArgumentParser()
     parser.add_argument("--run-folder", required=True)
     parser.add_argument("--seed", type=int, required=True)
--- a/review/shared-3/world.py
+++ b/review/shared-3/world.py
@@ -62,19 +62,30 @@
     """
 
     def __init__(
-        self, folder, *, entries=3, workers=6, zones=3, minions=MINIONS, bounds=None
+        self,
+        folder,
+        *,
+        entries=3,
+        workers=6,
+        zones=3,
+        minions=MINIONS,
+        bounds=None,
     ):
         self.entries, self.workers, self.zones = entries, workers, zones
         self._minions = minions
         self._bounds = {**BOUNDS, **(bounds or {})}
         self.trouble = os.environ.get("TROUBLE", "1") != "0"
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="review-"))
-        self._record = open(pathlib.Path(folder) / "record.txt", "w")
+        self._record = open(  # noqa: SIM115
+            pathlib.Path(folder) / "record.txt", "w"
+        )
         self._began = time.monotonic()
         self._processes = {}
         self._read = 0
         self._block = self._choose_block()
-        self._log_callers = open(self.folder / "caller.jsonl", "a")
+        self._log_callers = open(  # noqa: SIM115
+            self.folder / "caller.jsonl", "a"
+        )
         self.note("trouble" if self.trouble else "no trouble (TROUBLE=0)")
 
     # Record.
@@ -98,7 +109,9 @@
         options += ["--block", str(self._block), "--zones", str(self.zones)]
         options += ["--entries", str(self.entries)]
         options += ["--workers", str(self.workers)]
-        self._spawn("store", ["python3", "-m", "tests.processes.store"], options)
+        self._spawn(
+            "store", ["python3", "-m", "tests.processes.store"], options
+        )
         self._wait(lambda: self.control("store", "status"), 15, "store")
         self._spawn(
             "workers",
@@ -109,7 +122,9 @@
         for entry in range(self.entries):
             self.start_entry(entry)
         for entry in range(self.entries):
-            self._wait(lambda: self.is_ready(entry), 20, f"entry-{entry}")
+            self._wait(
+                lambda entry=entry: self.is_ready(entry), 20, f"entry-{entry}"
+            )
         self._wait(lambda: self.find_owner() is not None, 10, "owner")
         time.sleep(4.0)  # longer than contact_ms
 
