--- a/review/12/case.py
+++ b/review/12/case.py
@@ -1,99 +1,80 @@
-"""Jobs that can never be done close all minions to everybody's jobs."""
+"""A job that was cancelled runs, since a frozen entry accepts it later."""
 
-import json
 import pathlib
+import signal
 import sys
+import threading
 import time
 
 FOLDER = pathlib.Path(__file__).resolve().parent
-SHARED = FOLDER.parent / "shared-3"
-sys.path.insert(0, str(SHARED))
+sys.path.insert(0, str(FOLDER.parent / "shared-3"))
 import world as worlds  # noqa: E402
 
-MINIONS, GPUS = 24, 8
-# The site file: poison, share 0.05 to 0.062 of the jobs, for_s 3.0; the width
-# of `reminder-batch` is 94 at most, and part of its jobs are kept apart. It may
-# come more than once.
-POISON_TASKS, POISON_APART = 48, 2
-JOBS = 19  # beside the one that can't be done: a share of 0.05
-SPREAD_S = 3.0
-SPELLS_AT = (0.0, 7.0, 20.0)
-WORK_MS = 6800  # as `hardness-survey`
-FINISH_S, WAIT_S = 14.0, 3.0
-POISON_STEPS = [
-    {
-        "count": POISON_TASKS,
-        "cpu": 1000,
-        "mem_mb": 1000,
-        "gpu": 1,
-        "est_ms": 1000,
-        "anti_affinity": POISON_APART,
-    }
-]
-STEPS = [
-    {"count": 1, "cpu": 40000, "mem_mb": 1000, "gpu": 1, "est_ms": WORK_MS}
-]
-
-
-def submit(world, job, steps, queue, spec):
-    """Hand a job in; it must be accepted."""
-    world.announce(job, steps)
-    body = {"spec": json.dumps(spec), "steps": steps}
-    if world.ask(0, "POST", f"/{queue}/{job}", body)[0] != 200:
-        raise worlds.CannotRunError("a job was not accepted")
+FREEZE_S = 4.0  # the site file: node_freeze, count 1, for_s 4.0
+PATIENCE_S = 0.6  # give_up: consumers leave within 900 ms
+CANCEL_MS, STOP_MS, CONTACT_MS = 3000, 400, 3000
+JOB = "5c0e7a21d94b36f8"
+PATH = f"/usual/{JOB}"
+STEPS = [{"count": 1, "cpu": 1000, "mem_mb": 100, "gpu": 1, "persistent": True}]
 
 
 def play(world):
     """Play the case; return whether the rule was broken."""
-    began = time.monotonic()
-    handed_in = []
-    for spell, spell_at in enumerate(SPELLS_AT):
-        time.sleep(max(0.0, began + spell_at - time.monotonic()))
-        poison = f"{spell:08x}000000f1"
-        spec = {"work_ms": 1000, "fails": world.trouble}
-        submit(world, poison, POISON_STEPS, "batch", spec)
-        for number in range(JOBS):
-            at = began + spell_at + (number + 1) * SPREAD_S / (JOBS + 1)
-            time.sleep(max(0.0, at - time.monotonic()))
-            job = f"{spell:08x}{number:08x}"
-            submit(world, job, STEPS, "usual", {"work_ms": WORK_MS})
-            handed_in.append((job, time.monotonic()))
-    # The traffic has ended; nothing else happens from here on.
-    asked = time.monotonic() + FINISH_S
-    world.note("end of the traffic")
-    time.sleep(FINISH_S + WAIT_S + 1.0)
-    events = world.read_events("start", "end")
-    running = most = 0
-    for one in events:
-        if one["at"] > asked + WAIT_S:
+    owner = world.find_owner()
+    frozen = (owner + 1) % world.entries
+    other = (owner + 2) % world.entries
+    world.note(f"owner entry-{owner}; entry-{frozen} is to freeze")
+    world.announce(JOB, STEPS)
+    thaw = None
+    if world.trouble:
+        world.signal(f"entry-{frozen}", signal.SIGSTOP)
+        thaw = threading.Timer(
+            FREEZE_S, world.signal, (f"entry-{frozen}", signal.SIGCONT)
+        )
+        thaw.start()
+        time.sleep(0.05)
+    # The consumer hands its job in, gets no answer and gives up.
+    body = {"spec": "x", "steps": STEPS}
+    world.ask(frozen, "POST", PATH, body, seconds=PATIENCE_S)
+    if not world.trouble:
+        time.sleep(1.0)
+    # It cancels, so that nothing is left of it.
+    acknowledged = None
+    for _ in range(10):
+        status, _ = world.ask(other, "DELETE", PATH)
+        if 200 <= status < 300 or status == 410:
+            acknowledged = time.monotonic()
             break
-        running += 1 if one["kind"] == "start" else -1
-        if one["at"] <= asked:
-            most = running
-        most = max(most, running)
-    world.note(f"at most {most} of {GPUS * MINIONS} GPUs in use from", asked)
+        time.sleep(0.2)
+    if acknowledged is None:
+        raise worlds.CannotRunError("the cancel was not acknowledged")
+    if thaw is not None:
+        thaw.join()
+    # Calm for far longer than contact_ms, cancel_ms and stop_ms together.
+    time.sleep(CONTACT_MS / 1000 + CANCEL_MS / 1000 + STOP_MS / 1000 + 4.0)
+    world.ask(other, "GET", PATH)
+    world.note_runs(JOB)
+    ended = {
+        (one["task"], one["run"]): one["at"]
+        for one in world.read_events("end")
+        if one["task"].startswith(JOB)
+    }
     is_broken = False
-    for job, at in handed_in:
-        starts = [
-            one["at"]
-            for one in events
-            if one["kind"] == "start" and one["task"].startswith(job)
-        ]
-        begun = f"begun {starts[0] - at:.2f} s later" if starts else "not begun"
-        world.note(f"{job}: {begun}", at)
-        waits = not starts or starts[0] > asked + WAIT_S
-        if waits and most * 2 < GPUS * MINIONS:
+    now = time.monotonic()
+    for start in world.read_events("start"):
+        if not start["task"].startswith(JOB):
+            continue
+        late_s = start["at"] - acknowledged
+        if late_s > CANCEL_MS / 1000:
+            world.note(f"started {late_s:.2f} s after the acknowledgement")
+            is_broken = True
+        gone = ended.get((start["task"], start["run"]), now)
+        ran_on_s = gone - acknowledged - (CANCEL_MS + STOP_MS) / 1000
+        if ran_on_s > 0:
+            world.note(f"runs on for {ran_on_s:.2f} s beyond the bounds")
             is_broken = True
     return is_broken
 
 
 if __name__ == "__main__":
-    sys.exit(
-        worlds.run(
-            play,
-            FOLDER,
-            workers=MINIONS,
-            zones=4,
-            minions=(str(SHARED / "minions.py"),),
-        )
-    )
+    sys.exit(worlds.run(play, FOLDER))
--- a/review/14/case.py
+++ b/review/14/case.py
@@ -18,7 +18,7 @@
 MUTE_S = 4.0  # srv_grey: share 0.14, for_s 6.5
 LEAVING = 4  # scale_in: share 0.065, here 0.031
 LINGER_S = 10.0  # drain_ms, and linger_ms 7000 of the site file
-STEPS = [{"count": 64, "cpu": 1000, "mem_mb": 1000, "gpu": 1, "est_ms": 2500}]
+STEPS = [{"count": 64, "cpu": 1000, "mem_mb": 1000, "gpu": 1, "est_ms": 6800}]
 
 
 def play(world):
@@ -44,7 +44,7 @@
         job = f"{number:016x}"
         steps = [{**STEPS[0], "requires": rack}]
         world.announce(job, steps)
-        body = {"spec": json.dumps({"work_ms": 2500}), "steps": steps}
+        body = {"spec": json.dumps({"work_ms": 6800}), "steps": steps}
         if world.ask(0, "POST", f"/usual/{job}", body)[0] != 200:
             raise worlds.CannotRunError("a job was not accepted")
     time.sleep(0.1)
@@ -53,22 +53,39 @@
     if world.trouble:
         world.control("workers", "set", keys=keys, fault="mute", layer=None)
         world.note("the minions answer again")
-    time.sleep(8.0)
+    time.sleep(LINGER_S + 2.0)
     said = {one["worker"]: one["at"] for one in world.read_events("draining")}
+    left = {
+        one["worker"]: one["at"]
+        for one in world.read_events("worker_down")
+        if one["how"] == "left"
+    }
+    done = {
+        (one["worker"], one["task"], one["run"])
+        for one in world.read_events("end")
+        if one["how"] == "done"
+    }
+    for worker, at in said.items():
+        world.note(f"minion {worker}: the store took `draining`", at)
+    for worker, at in left.items():
+        world.note(f"minion {worker} leaves", at)
     is_broken = False
+    lost = 0
     for event in world.read_events("start"):
         at = said.get(event["worker"])
         if at is None:
             continue
+        is_done = (event["worker"], event["task"], event["run"]) in done
         world.note(
             f"minion {event['worker']}: start {event['task']} "
-            f"run {event['run']}, {event['at'] - at:.2f} s after its report",
+            f"run {event['run']}, {event['at'] - at:.2f} s after its report, "
+            f"{'done' if is_done else 'work lost'}",
             event["at"],
         )
         if event["at"] - at > DRAIN_MS / 1000 and not event.get("late"):
             is_broken = True
-    for worker, at in said.items():
-        world.note(f"minion {worker}: the store took `draining`", at)
+            lost += not is_done
+    world.note(f"runs that began too late and whose work is lost: {lost}")
     return is_broken
 
 
--- a/review/shared-3/minions.py
+++ b/review/shared-3/minions.py
@@ -4,7 +4,8 @@
 says of sharing: `POST /pace`, the fifth entry of each row of `running`, and the
 progress of tasks that fill at their pace. The tail of the serving tasks is set
 by the control command `tail`. A task whose `spec` has `fails` ends `failed` by
-its own fault on any minion, after half of its time.
+its own fault on any minion, after half of its time: in each run, or in those
+that it lists.
 """
 
 import argparse
@@ -25,10 +26,11 @@
         """Return the work of one run of a task."""
         work = super().find(task, run, spec)
         try:
-            fails = bool(json.loads(spec).get("fails"))
+            fails = json.loads(spec).get("fails", False)
         except (ValueError, AttributeError):
             fails = False
-        return work._replace(fails=fails)
+        is_failure = run in fails if isinstance(fails, list) else bool(fails)
+        return work._replace(fails=is_failure)
 
 
 class SharingFleet(fleet.Fleet):
