--- a/review/12/case.py
+++ b/review/12/case.py
@@ -53,7 +53,6 @@
     # Calm for far longer than contact_ms, cancel_ms and stop_ms together.
     time.sleep(CONTACT_MS / 1000 + CANCEL_MS / 1000 + STOP_MS / 1000 + 4.0)
     world.ask(other, "GET", PATH)
-    world.note_runs(JOB)
     ended = {
         (one["task"], one["run"]): one["at"]
         for one in world.read_events("end")
--- a/review/15/case.py
+++ b/review/15/case.py
@@ -90,8 +90,6 @@
             if shown < len(waiting) / 2:
                 is_broken = True
         time.sleep(1.0)
-    for job in accepted:
-        world.note_runs(job)
     return is_broken
 
 
--- a/review/shared-3/world.py
+++ b/review/shared-3/world.py
@@ -313,16 +313,18 @@
                 found.append(event)
         return sorted(found, key=lambda event: event["at"])
 
-    def note_runs(self, job):
-        """Write the starts and ends of a job's tasks to the record."""
-        for event in self.read_events("start", "end"):
-            if event["task"].startswith(job):
-                how = event.get("how", "")
-                self.note(
-                    f"minion {event['worker']}: {event['kind']} "
-                    f"{event['task']} run {event['run']} {how}",
-                    event["at"],
-                )
+    def write_runs(self):
+        """Write all that the minions started and ended to the record."""
+        self._record.write("what the minions started and ended:\n")
+        for event in self.read_events("start", "end", "worker_down"):
+            what = event["kind"]
+            if "task" in event:
+                what += f" {event['task']} run {event['run']}"
+            how = event.get("how", "")
+            at = self.get_s(event["at"])
+            self._record.write(
+                f"{at:8.3f} minion {event['worker']}: {what} {how}\n"
+            )
 
 
 def _render(template, fields):
@@ -363,6 +365,7 @@
         world = World(folder, **options)
         world.start()
         is_broken = play(world)
+        world.write_runs()
         world.note("RULE BROKEN" if is_broken else "rule held")
         return int(is_broken)
     except (CannotRunError, OSError, ValueError, KeyError) as error:
