Compared the queue and the customer of a job with those of a request.

A job handed in at one queue was shown and cancelled at the prefix of any other queue, and with the key of any customer: GET and DELETE looked jobs up by their ids alone. A submission of another customer with the same id and content was answered as if it were accepted.

A job of another sender now doesn't exist for a request (410), and its id is taken (409). On a public queue, and for jobs that were handed in without a customer, all callers of the queue are equal, as before.

The two cases of TestSenders in tests/platform/test_path.py failed before with 200 instead of 410, and pass. Tests that ask the API directly name the sender.

--- a/chervilcove/control/api.py
+++ b/chervilcove/control/api.py
@@ -188,8 +188,9 @@
         if refusal is not None:
             return self.log_refusal(refusal, job=job, queue=queue.name)
         known = self._follower.table.jobs.get(job)
+        sender = records.build_sender(queue, customer)
         if known is not None:
-            if known.spec != spec:
+            if known.spec != spec or not known.submission.is_open_to(sender):
                 refusal = errors.refuse(
                     errors.Kind.DUPLICATE_KEY,
                     "the id belongs to a different job",
@@ -294,15 +295,20 @@
         return max(refusals.MIN_RETRY_AFTER_S, min(silence_s, longest_s))
 
     def cancel(
-        self, *, job: str, time_left_s: float | None
+        self, *, job: str, sender: records.Sender, time_left_s: float | None
     ) -> None | errors.Refusal:
         """Cancel a job.
 
+        Args:
+            job: Id of the job.
+            sender: Who cancels it; another sender's job doesn't exist for it.
+            time_left_s: Seconds until the caller's deadline, None without one.
+
         Returns:
             None once the cancellation is stored, or if the job has ended or
             was cancelled before; else a refusal.
         """
-        known = self._find_job(job)
+        known = self._find_job(job, sender)
         if errors.is_refusal(known):
             return known
         if known.end is not None or known.is_cancelled:
@@ -319,14 +325,20 @@
             return None
         return self._add_retry_after(refusal, time_left_s)
 
-    def get_job_state(self, *, job: str) -> table.JobState | errors.Refusal:
+    def get_job_state(
+        self, *, job: str, sender: records.Sender
+    ) -> table.JobState | errors.Refusal:
         """Return the state of a job.
 
         Callers ask when their jobs should end, and again a quarter of a second
         later. For a running job, the answer therefore waits up to END_WAIT_S
         for its end, while the entry reads the ledger without pauses.
+
+        Args:
+            job: Id of the job.
+            sender: Who asks; another sender's job doesn't exist for it.
         """
-        known = self._find_job(job)
+        known = self._find_job(job, sender)
         if errors.is_refusal(known):
             return known
         state = known.get_state()
@@ -350,8 +362,10 @@
             queue, self._follower.clock.get_now_ms()
         )
 
-    def _find_job(self, job: str) -> table.Job | errors.Refusal:
-        """Return a job, `GONE` only if it certainly doesn't exist."""
+    def _find_job(
+        self, job: str, sender: records.Sender
+    ) -> table.Job | errors.Refusal:
+        """Return a job of a sender, `GONE` only if it has certainly none."""
         known = self._follower.table.jobs.get(job)
         if known is None and (
             not self._follower.is_current
@@ -359,7 +373,7 @@
         ):
             return self.log_refusal(refusals.refuse_state_behind(), job=job)
         known = self._follower.table.jobs.get(job)
-        if known is None:
+        if known is None or not known.submission.is_open_to(sender):
             refusal = errors.refuse(errors.Kind.GONE, "no such job")
             return self.log_refusal(
                 refusal, job=job, offset=self._follower.next_offset
--- a/chervilcove/jobs/records.py
+++ b/chervilcove/jobs/records.py
@@ -46,6 +46,27 @@
 OWNER_KINDS = frozenset((Kind.UNIT, Kind.END, Kind.CLAIM, Kind.BEAT))
 
 
+class Sender(NamedTuple):
+    """Who sends a request about a job.
+
+    Attributes:
+        queue: Name of the queue.
+        customer: Name of the customer, empty on a public queue.
+    """
+
+    queue: str
+    customer: str
+
+
+def build_sender(
+    queue: configuration.Queue, customer: configuration.Customer | None
+) -> Sender:
+    """Return the sender of a request; all are equal on a public queue."""
+    if queue.is_public or customer is None:
+        return Sender(queue.name, "")
+    return Sender(queue.name, customer.name)
+
+
 class Submission(NamedTuple):
     """An accepted job, with the settings of its queue at that time.
 
@@ -76,6 +97,12 @@
     target_ms: int = 0
     needs_advice: bool = False
 
+    def is_open_to(self, sender: Sender) -> bool:
+        """Return whether a sender may see and cancel the job."""
+        return self.queue == sender.queue and (
+            not sender.customer or self.customer in ("", sender.customer)
+        )
+
     def build_queue(self) -> configuration.Queue:
         """Return the queue as it was at submission.
 
--- a/chervilcove/platform/callers.py
+++ b/chervilcove/platform/callers.py
@@ -9,6 +9,7 @@
 from chervilcove.control import api
 from chervilcove.core import errors
 from chervilcove.core import web
+from chervilcove.jobs import records
 from chervilcove.jobs import specs
 from chervilcove.platform import fields
 from chervilcove.platform import store
@@ -154,21 +155,24 @@
         found = self._find_queue(request)
         if errors.is_refusal(found):
             return found
-        queue, _ = found
+        queue, customer = found
         job = request.path.removeprefix(queue.prefix)
         if not job:
             count = self._job_api.count_waiting(queue=queue.name)
             return count if errors.is_refusal(count) else {"waiting": count}
-        state = self._job_api.get_job_state(job=job)
+        state = self._job_api.get_job_state(
+            job=job, sender=records.build_sender(queue, customer)
+        )
         return state if errors.is_refusal(state) else {"state": state.value}
 
     def _handle_delete(self, request: web.WebRequest) -> Any:
         found = self._find_queue(request)
         if errors.is_refusal(found):
             return found
-        queue, _ = found
+        queue, customer = found
         refusal = self._job_api.cancel(
             job=request.path.removeprefix(queue.prefix),
+            sender=records.build_sender(queue, customer),
             time_left_s=_parse_time_left_s(request),
         )
         return {} if refusal is None else refusal
--- a/tests/control/fault_plays.py
+++ b/tests/control/fault_plays.py
@@ -4,6 +4,7 @@
 
 import gevent
 
+from chervilcove.jobs import records
 from chervilcove.jobs import specs
 from chervilcove.jobs import table
 from tests.control import fault_profiles
@@ -45,6 +46,7 @@
             fleet.workers[name] = worker
         self.workers = list(fleet.workers.values())
         self.specs = {}
+        self.senders = {}
         self.gangs_to_split = 0
         self.starting = set()  # names of entries
         self.views = {}
@@ -136,6 +138,7 @@
         job = f"{len(self.specs) + 1:016x}"
         self.specs[job] = specs.JobSpec("payload", steps)
         queue = drawn.choice(["urgent", "batch", "batch"])
+        self.senders[job] = records.Sender(queue, systems.SENDER.customer)
         for name in names:
             entry = self.entries[name]
             if entry.job_api._follower.is_current:
@@ -147,7 +150,11 @@
         if self.specs:
             job = drawn.choice(list(self.specs))
             entry = self.entries[drawn.choice(NAMES)]
-            self.spawn(lambda: entry.job_api.cancel(job=job, time_left_s=2.0))
+            self.spawn(
+                lambda: entry.job_api.cancel(
+                    job=job, sender=self.senders[job], time_left_s=2.0
+                )
+            )
 
     def poll(self):
         """Record which jobs any entry shows as done."""
--- a/tests/control/system.py
+++ b/tests/control/system.py
@@ -45,6 +45,7 @@
     ),
 ]
 CUSTOMERS = [configuration.Customer(name="c", keys=("k",), guaranteed=16)]
+SENDER = records.Sender("batch", "c")
 
 
 class MemoryOperatorFeed:
--- a/tests/control/test_api.py
+++ b/tests/control/test_api.py
@@ -127,7 +127,12 @@
         assert system.submit(entry, JOB, systems.build_spec()) == "queued"
         other = "0" * 15 + "1"
         system.submit(entry, other, systems.build_spec())
-        assert entry.job_api.cancel(job=other, time_left_s=3.0) is None
+        assert (
+            entry.job_api.cancel(
+                job=other, sender=systems.SENDER, time_left_s=3.0
+            )
+            is None
+        )
 
 
 class TestGetJobState:
@@ -148,7 +153,10 @@
                 )
             )
         asked = [
-            gevent.spawn(one.job_api.get_job_state, job=JOB) for one in entries
+            gevent.spawn(
+                one.job_api.get_job_state, job=JOB, sender=systems.SENDER
+            )
+            for one in entries
         ]
         gevent.sleep(0)
         worker.end(f"{JOB}.0.0.0", "done")
@@ -168,5 +176,8 @@
         systems.wait_until(lambda: follower.reachable_since is None)
         reads = []
         follower.wait_until = lambda *args, **kwargs: reads.append(args)
-        assert entry.job_api.get_job_state(job=JOB) == "running"
+        assert (
+            entry.job_api.get_job_state(job=JOB, sender=systems.SENDER)
+            == "running"
+        )
         assert reads == []
--- a/tests/control/test_clocks.py
+++ b/tests/control/test_clocks.py
@@ -139,11 +139,17 @@
         system.submit(entry, JOB, systems.build_spec())
         system.wait_for_run(TASK).end(TASK, "done")
         systems.wait_until(
-            lambda: entry.job_api.get_job_state(job=JOB) is table.JobState.DONE
+            lambda: (
+                entry.job_api.get_job_state(job=JOB, sender=systems.SENDER)
+                is table.JobState.DONE
+            )
         )
         wall.error_s = JUMP_S
         gevent.sleep(1.0)
-        assert entry.job_api.get_job_state(job=JOB) is table.JobState.DONE
+        assert (
+            entry.job_api.get_job_state(job=JOB, sender=systems.SENDER)
+            is table.JobState.DONE
+        )
 
     def test_successor_continues_the_time_of_its_predecessor(self, system):
         # By its own time of day, all waiting jobs of the successor would have
--- a/tests/control/test_crashes.py
+++ b/tests/control/test_crashes.py
@@ -30,7 +30,10 @@
 
 def wait_for_failure(entry, job=JOB):
     systems.wait_until(
-        lambda: entry.job_api.get_job_state(job=job) is table.JobState.FAILED
+        lambda: (
+            entry.job_api.get_job_state(job=job, sender=systems.SENDER)
+            is table.JobState.FAILED
+        )
     )
 
 
--- a/tests/control/test_followers.py
+++ b/tests/control/test_followers.py
@@ -182,7 +182,10 @@
         system.wait_for_run(f"{other}.0.0.0")
         worker.end(UNIT.format(), "done")
         systems.wait_until(
-            lambda: entry.job_api.get_job_state(job=JOB) is table.JobState.DONE
+            lambda: (
+                entry.job_api.get_job_state(job=JOB, sender=systems.SENDER)
+                is table.JobState.DONE
+            )
         )
         assert entry._owner is owner
         assert owner.epoch == systems.FIRST_EPOCH
--- a/tests/control/test_isolation.py
+++ b/tests/control/test_isolation.py
@@ -32,7 +32,10 @@
     system.submit(entry, OTHER, systems.build_spec())
     system.wait_for_run(f"{OTHER}.0.0.0").end(f"{OTHER}.0.0.0", "done")
     systems.wait_until(
-        lambda: entry.job_api.get_job_state(job=OTHER) is table.JobState.DONE
+        lambda: (
+            entry.job_api.get_job_state(job=OTHER, sender=systems.SENDER)
+            is table.JobState.DONE
+        )
     )
 
 
@@ -80,5 +83,8 @@
         monkeypatch.setattr(entry._owner, "_schedule", plan)
         worker.end(TASK, "done")
         systems.wait_until(
-            lambda: entry.job_api.get_job_state(job=JOB) is table.JobState.DONE
+            lambda: (
+                entry.job_api.get_job_state(job=JOB, sender=systems.SENDER)
+                is table.JobState.DONE
+            )
         )
--- a/tests/control/test_operator_failures.py
+++ b/tests/control/test_operator_failures.py
@@ -40,7 +40,10 @@
         assert system.list_starts() == [(TASK, 1)]
         worker.end(TASK, "done")
         systems.wait_until(
-            lambda: entry.job_api.get_job_state(job=JOB) is table.JobState.DONE
+            lambda: (
+                entry.job_api.get_job_state(job=JOB, sender=systems.SENDER)
+                is table.JobState.DONE
+            )
         )
 
     def test_run_goes_on_while_its_worker_is_not_listed(self, system):
--- a/tests/control/test_owners.py
+++ b/tests/control/test_owners.py
@@ -23,10 +23,16 @@
             table.JobState.QUEUED
         )
         worker = system.wait_for_run(TASK)
-        assert entry.job_api.get_job_state(job=JOB) is table.JobState.RUNNING
+        assert (
+            entry.job_api.get_job_state(job=JOB, sender=systems.SENDER)
+            is table.JobState.RUNNING
+        )
         worker.end(TASK, "done")
         systems.wait_until(
-            lambda: entry.job_api.get_job_state(job=JOB) is table.JobState.DONE
+            lambda: (
+                entry.job_api.get_job_state(job=JOB, sender=systems.SENDER)
+                is table.JobState.DONE
+            )
         )
         assert system.list_starts() == [(TASK, 1)]
 
@@ -37,7 +43,8 @@
             system.wait_for_run(TASK).end(TASK, "failed")
         systems.wait_until(
             lambda: (
-                entry.job_api.get_job_state(job=JOB) is table.JobState.FAILED
+                entry.job_api.get_job_state(job=JOB, sender=systems.SENDER)
+                is table.JobState.FAILED
             )
         )
         gevent.sleep(0.5)
@@ -51,7 +58,10 @@
         worker = system.wait_for_run(TASK)
         worker.end(TASK, "done")
         systems.wait_until(
-            lambda: entry.job_api.get_job_state(job=JOB) is table.JobState.DONE
+            lambda: (
+                entry.job_api.get_job_state(job=JOB, sender=systems.SENDER)
+                is table.JobState.DONE
+            )
         )
         late = [one for w in system.fleet.workers.values() for one in w.late]
         assert late
@@ -96,11 +106,19 @@
         entry = system.add_entry("a")
         system.submit(entry, JOB, systems.build_spec())
         system.wait_for_run(TASK)
-        assert entry.job_api.cancel(job=JOB, time_left_s=3.0) is None
+        assert (
+            entry.job_api.cancel(
+                job=JOB, sender=systems.SENDER, time_left_s=3.0
+            )
+            is None
+        )
         systems.wait_until(lambda: system.find_worker(TASK) is None)
         gevent.sleep(0.5)
         assert system.list_starts() == [(TASK, 1)]
-        assert entry.job_api.get_job_state(job=JOB) is table.JobState.CANCELLED
+        assert (
+            entry.job_api.get_job_state(job=JOB, sender=systems.SENDER)
+            is table.JobState.CANCELLED
+        )
 
     def test_cancel_stops_a_task_whose_start_got_no_answer(self, system):
         # Found in review: the worker listed the run between two tries of its
@@ -112,7 +130,7 @@
         systems.wait_until(
             lambda: any(w.late for w in system.fleet.workers.values())
         )
-        entry.job_api.cancel(job=JOB, time_left_s=3.0)
+        entry.job_api.cancel(job=JOB, sender=systems.SENDER, time_left_s=3.0)
         systems.wait_until(
             lambda: all(r.stop_reason for r in entry._owner._runs.values())
         )
@@ -135,7 +153,10 @@
         for task in tasks:
             system.find_worker(task).end(task, "done")
         systems.wait_until(
-            lambda: entry.job_api.get_job_state(job=JOB) is table.JobState.DONE
+            lambda: (
+                entry.job_api.get_job_state(job=JOB, sender=systems.SENDER)
+                is table.JobState.DONE
+            )
         )
         assert sorted(system.list_starts()) == [(task, 1) for task in tasks]
 
@@ -198,7 +219,10 @@
         gevent.sleep(0.5)
         worker.end(TASK, "done")
         systems.wait_until(
-            lambda: other.job_api.get_job_state(job=JOB) is table.JobState.DONE
+            lambda: (
+                other.job_api.get_job_state(job=JOB, sender=systems.SENDER)
+                is table.JobState.DONE
+            )
         )
         assert system.list_starts() == [(TASK, 1)]
 
@@ -214,7 +238,10 @@
         systems.wait_until(lambda: other._owner is not None)
         worker.end(TASK, "done")
         systems.wait_until(
-            lambda: other.job_api.get_job_state(job=JOB) is table.JobState.DONE
+            lambda: (
+                other.job_api.get_job_state(job=JOB, sender=systems.SENDER)
+                is table.JobState.DONE
+            )
         )
         assert other._owner._estimates.factors == {}
 
@@ -247,7 +274,10 @@
         worker.end(TASK, "done")
         other = system.add_entry("b")
         systems.wait_until(
-            lambda: other.job_api.get_job_state(job=JOB) is table.JobState.DONE
+            lambda: (
+                other.job_api.get_job_state(job=JOB, sender=systems.SENDER)
+                is table.JobState.DONE
+            )
         )
         assert system.list_starts() == [(TASK, 1)]
 
@@ -333,7 +363,8 @@
             system.wait_for_run(TASK).end(TASK, "failed")
         systems.wait_until(
             lambda: (
-                entry.job_api.get_job_state(job=JOB) is table.JobState.FAILED
+                entry.job_api.get_job_state(job=JOB, sender=systems.SENDER)
+                is table.JobState.FAILED
             )
         )
         assert len(system.list_starts()) == 3
@@ -343,7 +374,10 @@
         worker.end(TASK, "done")
         worker.is_cut = False
         systems.wait_until(
-            lambda: entry.job_api.get_job_state(job=JOB) is table.JobState.DONE
+            lambda: (
+                entry.job_api.get_job_state(job=JOB, sender=systems.SENDER)
+                is table.JobState.DONE
+            )
         )
         # A job is shown as done before other runs of it are stopped.
         systems.wait_until(lambda: system.find_worker(TASK) is None)
@@ -366,7 +400,8 @@
             system.wait_for_run(TASK).end(TASK, "failed")
         systems.wait_until(
             lambda: (
-                entry.job_api.get_job_state(job=JOB) is table.JobState.FAILED
+                entry.job_api.get_job_state(job=JOB, sender=systems.SENDER)
+                is table.JobState.FAILED
             )
         )
 
--- a/tests/control/test_unstored_runs.py
+++ b/tests/control/test_unstored_runs.py
@@ -152,7 +152,9 @@
         system.ledger.is_open = True
         systems.wait_until(lambda: owner.writer.backlog == 0)
         gevent.sleep(1.0)
-        state = owner_entry.job_api.get_job_state(job=GANG)
+        state = owner_entry.job_api.get_job_state(
+            job=GANG, sender=systems.SENDER
+        )
         assert state is table.JobState.DONE
         assert [start.run for start in judge.starts] == [1, 1]
 
--- a/tests/control/test_untracked_runs.py
+++ b/tests/control/test_untracked_runs.py
@@ -67,7 +67,10 @@
 
 
 def is_done(entry, job):
-    return entry.job_api.get_job_state(job=job) is table.JobState.DONE
+    return (
+        entry.job_api.get_job_state(job=job, sender=systems.SENDER)
+        is table.JobState.DONE
+    )
 
 
 class TestSuccessor:
@@ -109,7 +112,7 @@
         entry = system.add_entry("a")
         system.submit(entry, JOB, build_whole_spec())
         system.wait_for_run(TASK)
-        entry.job_api.cancel(job=JOB, time_left_s=3.0)
+        entry.job_api.cancel(job=JOB, sender=systems.SENDER, time_left_s=3.0)
         systems.wait_until(
             lambda: any(run.stop_reason for run in entry._owner._runs.values())
         )
--- a/tests/control/test_visibility.py
+++ b/tests/control/test_visibility.py
@@ -16,7 +16,7 @@
 
 
 def get_state(entry):
-    return entry.job_api.get_job_state(job=JOB)
+    return entry.job_api.get_job_state(job=JOB, sender=systems.SENDER)
 
 
 def has_unstored_records(entry):
@@ -81,7 +81,9 @@
         # The answer 200 stood on an end that was lost with the owner.
         worker = run_job(system, entry)
         end_without_store(system, entry, worker, "done")
-        answer = entry.job_api.cancel(job=JOB, time_left_s=0.5)
+        answer = entry.job_api.cancel(
+            job=JOB, sender=systems.SENDER, time_left_s=0.5
+        )
         assert errors.is_refusal(answer)
 
     def test_deposed_owner_does_not_show_an_unstored_end(self, system, entry):
--- a/tests/control/test_worker_restarts.py
+++ b/tests/control/test_worker_restarts.py
@@ -61,7 +61,10 @@
         worker.end(TASK, "done")
         worker.run_late()
         systems.wait_until(
-            lambda: entry.job_api.get_job_state(job=JOB) is table.JobState.DONE
+            lambda: (
+                entry.job_api.get_job_state(job=JOB, sender=systems.SENDER)
+                is table.JobState.DONE
+            )
         )
         assert system.list_starts().count((TASK, 1)) == 1
         assert (TASK, 2) not in system.list_starts()
--- a/tests/platform/test_path.py
+++ b/tests/platform/test_path.py
@@ -35,6 +35,40 @@
     return send
 
 
+@pytest.fixture
+def neighbours(platform, peer):
+    """Configure a second queue and a second customer, with the key key-3."""
+    route = standin.CONFIG["routes"][0]
+    tenant = standin.CONFIG["tenants"][0]
+    config = {
+        **standin.CONFIG,
+        "version": 9,
+        "routes": [route, {**route, "name": "r-2", "path_prefix": "/usual/"}],
+        "tenants": [tenant, {**tenant, "name": "u", "api_keys": ["key-3"]}],
+    }
+    platform.store.put("keyed.op", "config", config)
+    operator_feed = platform.entry._operator_feed
+    systems.wait_until(lambda: operator_feed.get().configuration.version == 9)
+
+
+class TestSenders:
+    @pytest.mark.parametrize(
+        ("path", "key"),
+        [(f"/usual/{JOB}", "key-1"), (f"/batch/{JOB}", "key-3")],
+        ids=["other_queue", "other_customer"],
+    )
+    def test_jobs_of_other_senders_are_not_shown_or_cancelled(
+        self, neighbours, call, path, key
+    ):
+        # Jobs were found by their ids alone, so that any key could cancel them.
+        assert call("POST", f"/batch/{JOB}", BODY).status == 200
+        assert call("GET", path, key=key).status == 410
+        assert call("DELETE", path, key=key).status == 410
+        assert call("POST", path, BODY, key=key).status == 409
+        reply = call("GET", f"/batch/{JOB}")
+        assert json.loads(reply.body)["state"] in ("queued", "running")
+
+
 class TestJobApi:
     def test_submitted_job_runs_and_its_state_is_returned(self, platform, call):
         assert call("POST", f"/batch/{JOB}", BODY).status == 200
