Stored the cancel of a job that is not known yet.

JobApi.cancel stored nothing for an unknown id. It now stores an EARLY_CANCEL record before it answers 410, and the job table applies it to a job of the same queue and customer, before or after it in the ledger. A late submission is answered 200 with the state `cancelled`, and never starts. The owner drops the record with the job or after 150 s; a sender has 200 of them at most (429 with Retry-After beyond that), and a repeated cancel isn't stored anew.

test_job_that_arrives_after_its_cancel_is_cancelled failed before ("queued" instead of "cancelled") and passes.

--- a/chervilcove/control/api.py
+++ b/chervilcove/control/api.py
@@ -21,6 +21,7 @@
 from chervilcove.core import logs
 from chervilcove.core import metrics as metric_values
 from chervilcove.jobs import configuration
+from chervilcove.jobs import early_cancels
 from chervilcove.jobs import maximums
 from chervilcove.jobs import records
 from chervilcove.jobs import specs
@@ -257,6 +258,8 @@
         )
         if refusal is not None:
             return self._add_retry_after(refusal, time_left_s)
+        if self._follower.table.early_cancels.applies_to(submission):
+            return table.JobState.CANCELLED
         return table.JobState.QUEUED
 
     def _refuse_unreachable(
@@ -306,11 +309,15 @@
 
         Returns:
             None once the cancellation is stored, or if the job has ended or
-            was cancelled before; else a refusal.
+            was cancelled before; else a refusal. It is `GONE` without such a
+            job, once a cancellation is stored that applies to a submission
+            which may still be under way.
         """
         known = self._find_job(job, sender)
         if errors.is_refusal(known):
-            return known
+            if known.kind is not errors.Kind.GONE:
+                return known
+            return self._store_early_cancel(job, sender, time_left_s) or known
         if known.end is not None or known.is_cancelled:
             return None
         refusal = self._writer.write(
@@ -325,6 +332,41 @@
             return None
         return self._add_retry_after(refusal, time_left_s)
 
+    def _store_early_cancel(
+        self, job: str, sender: records.Sender, time_left_s: float | None
+    ) -> errors.Refusal | None:
+        """Store the cancel of an id that has no job of the sender.
+
+        Returns:
+            None once it is stored, or if no job can have the id.
+        """
+        if not specs.is_job_id(job) or job in self._follower.table.jobs:
+            return None
+        now_ms = self._follower.clock.get_now_ms()
+        known = self._follower.table.early_cancels
+        name = early_cancels.build_name(job, sender)
+        if known.is_fresh(name, now_ms):
+            return None
+        wait_ms = known.compute_wait_ms(sender, now_ms)
+        if wait_ms and name not in known:
+            refusal = errors.refuse(
+                errors.Kind.RATE_EXCEEDED,
+                "too many cancels of unknown jobs",
+                retry_after_s=math.ceil(wait_ms / 1000),
+            )
+            return self.log_refusal(refusal, job=job, queue=sender.queue)
+        refusal = self._writer.write(
+            records.build_key(records.Kind.EARLY_CANCEL, name),
+            records.encode_value(records.EarlyCancel(now_ms, *sender)),
+            timeout_s=_get_write_timeout_s(time_left_s),
+        )
+        outcome = "early" if refusal is None else refusal.kind.value
+        self._metrics.count(f"jobs.cancel.{outcome}")
+        self._log.info("job_cancelled", job=job, outcome=outcome)
+        if refusal is None:
+            return None
+        return self._add_retry_after(refusal, time_left_s)
+
     def get_job_state(
         self, *, job: str, sender: records.Sender
     ) -> table.JobState | errors.Refusal:
--- a/chervilcove/control/job_ends.py
+++ b/chervilcove/control/job_ends.py
@@ -1,6 +1,7 @@
 """Ends of jobs: when a job fails or is over, and when it is forgotten."""
 
 from collections.abc import Callable
+from collections.abc import Iterable
 from collections.abc import Mapping
 
 from chervilcove.control import clocks
@@ -99,7 +100,7 @@
             self._end_job(job)
 
     def purge(self) -> None:
-        """Remove the jobs that have ended long ago."""
+        """Remove jobs that have ended long ago, and cancels without a job."""
         now_ms = self._clock.get_now_ms()
         for job in list(self._table.jobs.values()):
             if job.end and now_ms - job.end.ended_ms > ENDED_JOB_RETENTION_MS:
@@ -111,7 +112,19 @@
                     records.Kind.END,
                 ):
                     self._write_record(kind, job.id, None)
+                self._drop_early_cancels(
+                    self._table.early_cancels.list_names(job.id)
+                )
                 self._estimates.forget(job.id)
+        self._drop_early_cancels(
+            name
+            for name in self._table.early_cancels.list_expired(now_ms)
+            if name.partition(".")[0] not in self._table.jobs
+        )
+
+    def _drop_early_cancels(self, names: Iterable[str]) -> None:
+        for name in names:
+            self._write_record(records.Kind.EARLY_CANCEL, name, None)
 
     def _end_job(self, job: table.Job) -> None:
         state = job.get_state()
--- a/chervilcove/control/relays.py
+++ b/chervilcove/control/relays.py
@@ -28,7 +28,12 @@
 MAX_CONNECTIONS = 4
 # After a call that failed, the entry appends on its own for this time.
 AVOID_OWNER_S = 2.0
-CALLER_KINDS = (records.Kind.JOB, records.Kind.CANCEL, records.Kind.ENTRY)
+CALLER_KINDS = (
+    records.Kind.JOB,
+    records.Kind.CANCEL,
+    records.Kind.EARLY_CANCEL,
+    records.Kind.ENTRY,
+)
 
 Items = list[tuple[str, bytes]]
 
--- a/chervilcove/jobs/records.py
+++ b/chervilcove/jobs/records.py
@@ -1,11 +1,11 @@
 """Records of the job ledger: a key, and a value in msgpack.
 
-Only the newest record of a key counts. JOB and CANCEL records are written by
-the entry that answers the caller. UNIT, END and BEAT records are written by
-the owner and carry its epoch. A CLAIM record makes its writer the owner. An
-ENTRY record announces the incarnation of an entry that has started. A TIME
-record holds the owner's time of day, a FLEET record the number of workers. An
-OPEN_START record names a unit of which a start got no answer.
+Only the newest record of a key counts. JOB, CANCEL and EARLY_CANCEL records are
+written by the entry that answers the caller. UNIT, END and BEAT records are
+written by the owner and carry its epoch. A CLAIM record makes its writer the
+owner. An ENTRY record announces the incarnation of an entry that has started. A
+TIME record holds the owner's time of day, a FLEET record the number of workers.
+An OPEN_START record names a unit of which a start got no answer.
 """
 
 import enum
@@ -33,6 +33,7 @@
 
     JOB = "j"
     CANCEL = "c"
+    EARLY_CANCEL = "early"
     UNIT = "u"
     END = "e"
     ENTRY = "n"
@@ -154,6 +155,25 @@
     )
 
 
+class EarlyCancel(NamedTuple):
+    """Cancel of an id that had no job yet; it applies to a later one.
+
+    Attributes:
+        cancelled_ms: Unix milliseconds.
+        queue: Name of the queue.
+        customer: Name of the customer, empty on a public queue.
+    """
+
+    cancelled_ms: int
+    queue: str
+    customer: str
+
+    @property
+    def sender(self) -> Sender:
+        """Return who sent it."""
+        return Sender(self.queue, self.customer)
+
+
 class Place(NamedTuple):
     """One incarnation of a worker, on which a task was started.
 
@@ -291,6 +311,7 @@
 
 VALUE_TYPES: dict[Kind, Any] = {
     Kind.JOB: Submission,
+    Kind.EARLY_CANCEL: EarlyCancel,
     Kind.UNIT: UnitRecord,
     Kind.END: EndRecord,
     Kind.CLAIM: Claim,
--- a/chervilcove/jobs/specs.py
+++ b/chervilcove/jobs/specs.py
@@ -105,6 +105,13 @@
         return self.first_due_ms + occurrence * self.interval_ms
 
 
+def is_job_id(text: str) -> bool:
+    """Return whether `text` is 16 lowercase hexadecimal digits."""
+    return len(text) == 16 and all(
+        digit in "0123456789abcdef" for digit in text
+    )
+
+
 def check_spec(spec: JobSpec) -> errors.Refusal | None:
     """Return a refusal if a submitted `spec` is invalid, else None."""
     if not 0 <= spec.first_due_ms <= MAX_TIME_MS:
--- a/chervilcove/jobs/table.py
+++ b/chervilcove/jobs/table.py
@@ -15,6 +15,7 @@
 from chervilcove.core import errors
 from chervilcove.jobs import arrivals
 from chervilcove.jobs import crash_limits
+from chervilcove.jobs import early_cancels
 from chervilcove.jobs import records
 from chervilcove.jobs import specs
 
@@ -278,12 +279,14 @@
         claim: Newest claim, None if there was none.
         epoch: Epoch of that claim, 0 if there was none.
         arrivals: When each customer sent its jobs.
+        early_cancels: Cancels of ids that had no job.
     """
 
     def __init__(self):
         self.jobs: dict[str, Job] = {}
         self.arrivals = arrivals.Arrivals()
         self.open_jobs: dict[str, Job] = {}
+        self.early_cancels = early_cancels.EarlyCancels()
         # Cancelled jobs, also those not known yet or no longer.
         self._cancels: set[str] = set()
         # Records of units and ends that were read before their job, by job.
@@ -299,6 +302,8 @@
             self._apply_job(record)
         elif record.kind is records.Kind.CANCEL:
             self._apply_cancel(record)
+        elif record.kind is records.Kind.EARLY_CANCEL:
+            self._apply_early_cancel(record)
         elif record.kind is records.Kind.CLAIM:
             if record.value is not None and record.value.epoch > self.epoch:
                 self.claim = record.value
@@ -316,6 +321,7 @@
         other.jobs = {name: job.copy() for name, job in self.jobs.items()}
         other.open_jobs = {name: other.jobs[name] for name in self.open_jobs}
         other._cancels = set(self._cancels)
+        other.early_cancels = self.early_cancels.copy()
         other._orphans = {
             name: list(orphans) for name, orphans in self._orphans.items()
         }
@@ -336,14 +342,18 @@
             self.apply(records.Record(records.Kind.JOB, job.id, job.submission))
         for name in other._cancels:
             self.apply(records.Record(records.Kind.CANCEL, name, 0))
+        for name, cancel in other.early_cancels:
+            self.apply(records.Record(records.Kind.EARLY_CANCEL, name, cancel))
 
     def has_record(self, key: str) -> bool:
-        """Return whether a JOB or CANCEL record of this key was applied."""
+        """Return whether a record of a caller with this key was applied."""
         record = records.decode(key, b"")
         if errors.is_refusal(record):
             return False
         if record.kind is records.Kind.JOB:
             return record.name in self.jobs
+        if record.kind is records.Kind.EARLY_CANCEL:
+            return record.name in self.early_cancels
         return (
             record.kind is records.Kind.CANCEL and record.name in self._cancels
         )
@@ -399,7 +409,10 @@
         if record.name in self.jobs:
             return
         job = Job(submission=record.value)
-        job.is_cancelled = record.name in self._cancels
+        job.is_cancelled = (
+            record.name in self._cancels
+            or self.early_cancels.applies_to(job.submission)
+        )
         self.jobs[record.name] = job
         self.open_jobs[record.name] = job
         self.arrivals.add(job.submission)
@@ -415,6 +428,16 @@
         if job is not None:
             job.is_cancelled = True
 
+    def _apply_early_cancel(self, record: records.Record) -> None:
+        if record.value is None:
+            self.early_cancels.remove(record.name)
+            return
+        self.early_cancels.add(record.name, record.value)
+        # The job may be stored although the entry that answered did not see it.
+        job = self.jobs.get(record.name.partition(".")[0])
+        if job is not None and self.early_cancels.applies_to(job.submission):
+            job.is_cancelled = True
+
     def _apply_unit(self, record: records.Record) -> None:
         key = parse_unit_key(record.name)
         if errors.is_refusal(key):
--- a/chervilcove/platform/callers.py
+++ b/chervilcove/platform/callers.py
@@ -135,7 +135,7 @@
             return refusal
         spec = parse_job(request.body)
         job = request.path.removeprefix(queue.prefix)
-        if not errors.is_refusal(spec) and not _is_job_id(job):
+        if not errors.is_refusal(spec) and not specs.is_job_id(job):
             spec = errors.refuse(
                 errors.Kind.INVALID_VALUE,
                 "job id must be 16 lowercase hexadecimal digits",
@@ -178,12 +178,6 @@
         return {} if refusal is None else refusal
 
 
-def _is_job_id(text: str) -> bool:
-    return len(text) == 16 and all(
-        digit in "0123456789abcdef" for digit in text
-    )
-
-
 def _parse_time_left_s(request: web.WebRequest) -> float | None:
     """Return the seconds for which a caller waits, None if it names none."""
     text = request.headers.get("x-chervilcove-deadline-ms", "")
--- a/tests/control/test_api.py
+++ b/tests/control/test_api.py
@@ -1,9 +1,14 @@
 import time
 
 import gevent
+import pytest
 
 from chervilcove.control import follower as followers
+from chervilcove.control import owners
 from chervilcove.core import errors
+from chervilcove.jobs import early_cancels
+from chervilcove.jobs import records
+from chervilcove.jobs import table
 from tests.control import system as systems
 
 JOB = "00000000000000aa"
@@ -181,3 +186,106 @@
             == "running"
         )
         assert reads == []
+
+
+class TestEarlyCancels:
+    """Cancels that come before their jobs."""
+
+    def cancel(self, entry, job=JOB, sender=systems.SENDER):
+        return entry.job_api.cancel(job=job, sender=sender, time_left_s=3.0)
+
+    def count_records(self, system):
+        return len({one.key for one in system.ledger.records if one.value})
+
+    def test_job_that_arrives_after_its_cancel_never_starts(self, system):
+        # A job ran although its cancel was answered with 410: its submission
+        # was still under way, at an entry that stood still.
+        entries = [system.add_entry(name) for name in ("a", "b")]
+        for one in entries:
+            systems.wait_until(lambda one=one: one.job_api._follower.is_current)
+        systems.wait_until(lambda: any(one._owner for one in entries))
+        assert self.cancel(entries[0]).kind == "gone"
+        assert not errors.is_refusal(
+            system.submit(entries[1], JOB, systems.build_spec())
+        )
+        for one in entries:
+            systems.wait_until(
+                lambda one=one: (
+                    one.job_api.get_job_state(job=JOB, sender=systems.SENDER)
+                    == "cancelled"
+                )
+            )
+        assert system.list_starts() == []
+
+    def test_early_cancels_survive_a_change_of_owner(self, system):
+        entry = system.add_entry("a")
+        systems.wait_until(lambda: entry._owner is not None)
+        assert self.cancel(entry).kind == "gone"
+        entry.kill()
+        # This one reads the newest records only.
+        other = system.add_entry("b")
+        systems.wait_until(lambda: other._owner is not None)
+        assert (
+            system.submit(other, JOB, systems.build_spec())
+            is table.JobState.CANCELLED
+        )
+        systems.wait_until(
+            lambda: (
+                JOB not in other.job_api._follower.table.open_jobs
+                and JOB in other.job_api._follower.table.jobs
+            )
+        )
+        assert system.list_starts() == []
+
+    def test_cancel_isnt_answered_while_it_cannot_be_stored(self, system):
+        # A cancel that was not stored would not stop a later submission.
+        entry = system.add_entry("a")
+        systems.wait_until(lambda: entry._owner is not None)
+        system.ledger.is_down = True
+        assert self.cancel(entry).kind in ("state_behind", "log_unavailable")
+
+    @pytest.mark.parametrize(
+        "sender",
+        [records.Sender("urgent", "c"), records.Sender("batch", "d")],
+        ids=["queue", "customer"],
+    )
+    def test_early_cancel_of_another_sender_leaves_the_job(
+        self, system, sender
+    ):
+        # Otherwise one customer's key could cancel another's later job.
+        entry = system.add_entry("a")
+        systems.wait_until(lambda: entry._owner is not None)
+        assert self.cancel(entry, sender=sender).kind == "gone"
+        assert system.submit(entry, JOB, systems.build_spec()) == "queued"
+        system.wait_for_run(f"{JOB}.0.0.0")
+
+    def test_cancels_of_unknown_jobs_are_bounded(self, system, monkeypatch):
+        # Otherwise a caller could fill the ledger and the memory of entries.
+        monkeypatch.setattr(early_cancels, "MAX_PER_SENDER", 3)
+        entry = system.add_entry("a")
+        systems.wait_until(lambda: entry._owner is not None)
+        for number in range(3):
+            assert self.cancel(entry, f"{number:016x}").kind == "gone"
+        known = entry.job_api._follower.table.early_cancels
+        systems.wait_until(lambda: len(list(known)) == 3)
+        before = self.count_records(system)
+        refused = self.cancel(entry, f"{3:016x}")
+        assert refused.kind == "rate_exceeded"
+        assert 1 <= refused.detail["retry_after_s"] <= 150
+        assert self.cancel(entry, f"{0:016x}").kind == "gone"
+        assert self.cancel(entry, "no-id").kind == "gone"
+        other = records.Sender("urgent", "d")
+        assert self.cancel(entry, f"{4:016x}", other).kind == "gone"
+        assert self.count_records(system) == before + 1
+
+    def test_owner_removes_early_cancels_after_their_retention(
+        self, system, monkeypatch
+    ):
+        monkeypatch.setattr(early_cancels, "RETENTION_MS", 300)
+        monkeypatch.setattr(owners, "PURGE_INTERVAL_S", 0.1)
+        entry = system.add_entry("a")
+        systems.wait_until(lambda: entry._owner is not None)
+        assert self.cancel(entry).kind == "gone"
+        known = entry.job_api._follower.table.early_cancels
+        assert systems.wait_until(lambda: list(known))
+        systems.wait_until(lambda: not list(known))
--- a/tests/jobs/test_table.py
+++ b/tests/jobs/test_table.py
@@ -1,3 +1,4 @@
+from chervilcove.jobs import early_cancels
 from chervilcove.jobs import records
 from chervilcove.jobs import specs
 from chervilcove.jobs import table
@@ -164,3 +165,46 @@
         refusal = specs.check_spec(specs.JobSpec("x" * 5_000, (wrong,)))
         assert refusal.detail["path"] == "spec"
         assert specs.check_spec(build_submission().value.spec) is None
+
+
+class TestEarlyCancels:
+    CANCEL = records.EarlyCancel(1_000, "q", "c")
+
+    def build_record(self, cancel):
+        name = early_cancels.build_name(JOB, cancel.sender)
+        return records.Record(records.Kind.EARLY_CANCEL, name, cancel)
+
+    def test_order_of_a_job_and_its_early_cancel_makes_no_difference(self):
+        # The job may be stored first although the entry that answered the
+        # cancel did not see it, and pages of the ledger come in any order.
+        both = [build_submission(), self.build_record(self.CANCEL)]
+        for each in (both, both[::-1]):
+            jobs = table.JobTable()
+            for record in each:
+                jobs.apply(record)
+            assert jobs.jobs[JOB].is_cancelled
+            assert jobs.copy().jobs[JOB].is_cancelled
+
+    def test_table_with_added_calls_has_their_early_cancels(self):
+        # An owner whose history lapsed takes the calls from a snapshot.
+        jobs, snapshot = table.JobTable(), table.JobTable()
+        snapshot.apply(self.build_record(self.CANCEL))
+        jobs.add_calls(snapshot)
+        jobs.apply(build_submission())
+        assert jobs.jobs[JOB].is_cancelled
+
+    def test_other_senders_neither_cancel_nor_overwrite(self):
+        jobs = table.JobTable()
+        jobs.apply(self.build_record(self.CANCEL))
+        for other in (("q", "d"), ("other", "c")):
+            jobs.apply(self.build_record(records.EarlyCancel(1_000, *other)))
+        assert len(list(jobs.early_cancels)) == 3
+        jobs.apply(self.build_record(self.CANCEL)._replace(value=None))
+        jobs.apply(build_submission())
+        assert not jobs.jobs[JOB].is_cancelled
+
+    def test_record_is_read_as_it_was_written(self):
+        record = self.build_record(self.CANCEL)
+        key = records.build_key(record.kind, record.name)
+        value = records.encode_value(record.value)
+        assert records.decode(key, value) == record
--- a/tests/platform/test_path.py
+++ b/tests/platform/test_path.py
@@ -105,6 +105,17 @@
         reply = call("GET", f"/batch/{JOB}")
         assert json.loads(reply.body) == {"state": "cancelled"}
 
+    def test_job_that_arrives_after_its_cancel_is_cancelled(
+        self, platform, call
+    ):
+        # A job ran although its cancel was answered with 410.
+        assert call("DELETE", f"/batch/{JOB}").status == 410
+        reply = call("POST", f"/batch/{JOB}", BODY)
+        assert reply.status == 200
+        reply = call("GET", f"/batch/{JOB}")
+        assert json.loads(reply.body) == {"state": "cancelled"}
+        assert all(not m.start_requests for m in platform.minions)
+
     def test_unknown_job_is_gone(self, call):
         assert call("GET", f"/batch/{JOB}").status == 410
         assert call("DELETE", f"/batch/{JOB}").status == 410
