Kept workers open when a job that fails everywhere is at fault.

Quarantines for failures and standstills are limited to a third of a pool, one worker at least; those workers rest that failed tasks of the most jobs. A worker that fails tasks while others of the same job run elsewhere rests as soon as before.

--- a/chervilcove/control/fleet.py
+++ b/chervilcove/control/fleet.py
@@ -57,7 +57,12 @@
         limits: capacity.EntryLimits = capacity.UNKNOWN_LIMITS,
     ):
         self.resources = resource_values.FleetResources()
-        self.health = health.WorkerHealth()
+        self.health = health.WorkerHealth(
+            list_pool=self.resources.list_pool,
+            on_lift=lambda worker, job: self._log.info(
+                "worker_rest_lifted", worker=worker, job=job
+            ),
+        )
         self.answer_times = answer_times.AnswerTimes(
             count_workers=lambda: len(self.sessions)
         )
--- a/chervilcove/control/job_ends.py
+++ b/chervilcove/control/job_ends.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 from collections.abc import Iterable
 from collections.abc import Mapping
+import time
 
 from chervilcove.control import clocks
 from chervilcove.control import commands as worker_commands
@@ -11,6 +12,7 @@
 from chervilcove.control import runs
 from chervilcove.core import logs
 from chervilcove.core import metrics as metric_values
+from chervilcove.dispatch import health as health_values
 from chervilcove.jobs import configuration
 from chervilcove.jobs import records
 from chervilcove.jobs import table
@@ -30,6 +32,7 @@
         commands: Sends the commands to the workers.
         planner: Plans the rounds of the owner.
         estimates: Estimates that the owner learns.
+        health: Health of the workers, judged by the runs of jobs.
         clock: Time that the entries share.
         epoch: Epoch of the owner.
         get_queue: Returns the queue of a job, also of a removed queue.
@@ -47,6 +50,7 @@
         commands: worker_commands.CommandSender,
         planner: planners.RoundPlanner,
         estimates: estimate_values.Estimates,
+        health: health_values.WorkerHealth,
         clock: clocks.SharedClock,
         epoch: int,
         get_queue: Callable[[table.Job], configuration.Queue],
@@ -59,6 +63,7 @@
         self._commands = commands
         self._planner = planner
         self._estimates = estimates
+        self._health = health
         self._clock = clock
         self._epoch = epoch
         self._get_queue = get_queue
@@ -129,6 +134,7 @@
     def _end_job(self, job: table.Job) -> None:
         state = job.get_state()
         self._planner.forget_job(job)
+        self._health.forget_job(job.id, time.monotonic())
         keys = [key.format() for key in job.units]
         end = records.EndRecord(
             self._epoch, state.value, self._clock.get_now_ms()
--- a/chervilcove/control/owners.py
+++ b/chervilcove/control/owners.py
@@ -212,6 +212,7 @@
             commands=self._commands,
             planner=self._planner,
             estimates=self._estimates,
+            health=self.fleet.health,
             clock=self._clock,
             epoch=epoch,
             get_queue=self._get_queue,
@@ -332,6 +333,7 @@
         )
         run.is_adopted = phase is runs.Phase.KNOWN
         self._runs[key] = run
+        self.fleet.health.record_start(key.format())
         return run
 
     # Callbacks, which collect input for the next round.
@@ -587,20 +589,28 @@
         self._metrics.count(f"runs.ended.{outcome}")
         worker = member.place.worker
         if outcome == "done":
-            self.fleet.health.record_success(worker, run.started)
+            self.fleet.health.record_success(
+                worker,
+                run.started,
+                unit=run.key.format(),
+                now=time.monotonic(),
+            )
             self._speeds.record_end(run, member)
             job = self._table.jobs.get(run.key.job)
             if job is not None and run.number == 1 and not run.is_adopted:
                 self._estimates.record_duration(
                     job, run.key.step, time.monotonic() - run.started
                 )
-        elif outcome == "failed" and self.fleet.health.record_failure(
-            worker,
-            run.key.format(),
-            time.monotonic(),
-            is_first_failure=not self._get_unit(run.key).failures,
-        ):
-            self.log.warn("worker_rests", worker=worker, why="failures")
+        elif outcome == "failed":
+            if self.fleet.health.record_failure(
+                worker,
+                run.key.format(),
+                time.monotonic(),
+                is_first_failure=not self._get_unit(run.key).failures,
+            ):
+                self.log.warn("worker_rests", worker=worker, why="failures")
+        else:
+            self.fleet.health.record_other_end(run.key.format())
         self.log.info(
             "run_ended",
             unit=run.key.format(),
--- a/chervilcove/control/run_monitor.py
+++ b/chervilcove/control/run_monitor.py
@@ -82,7 +82,7 @@
         stalled_s = member.progress.get_stalled_s()
         if stalled_s < relocation.STALL_DETECTION_S:
             return
-        if self._fleet.health.record_unresponsive(worker, now):
+        if self._fleet.health.record_standstill(worker, run.key.format(), now):
             self._log.warn(
                 "worker_rests",
                 worker=worker,
--- a/chervilcove/dispatch/resources.py
+++ b/chervilcove/dispatch/resources.py
@@ -170,6 +170,17 @@
         self.by_worker[worker.id] = resources
         return resources
 
+    def list_pool(self, worker: str) -> list[str]:
+        """Return the workers of the pool of a worker; it need not exist."""
+        room = self.by_worker.get(worker)
+        if room is None:
+            return []
+        return [
+            one
+            for one, other in self.by_worker.items()
+            if other.worker.service == room.worker.service
+        ]
+
     def remove(self, worker: str) -> None:
         """Remove a worker; it need not exist."""
         self.by_worker.pop(worker, None)
--- a/tests/dispatch/test_rounds.py
+++ b/tests/dispatch/test_rounds.py
@@ -1,5 +1,7 @@
 import random
 
+import pytest
+
 from chervilcove.dispatch import delay_scheduling
 from chervilcove.dispatch import headroom
 from chervilcove.dispatch import health
@@ -484,6 +486,112 @@
         assert not worker_health.record_failure("w", "b", 2.0)
 
 
+class TestHopelessJobs:
+    """Failures that point to a job, or to most of a pool."""
+
+    def list_resting(self, worker_health, workers, now=1.0):
+        return [
+            worker
+            for worker in workers
+            if worker_health.is_quarantined(worker, now)
+        ]
+
+    @pytest.mark.parametrize("steps", [1, 24])
+    def test_hopeless_job_leaves_its_workers_open(self, steps):
+        # Two failed tasks of one job on each worker closed the whole pool.
+        workers = [f"w{number}" for number in range(24)]
+        worker_health = health.WorkerHealth(list_pool=lambda _: workers)
+        units = [f"j.0.{index % steps}.{index}" for index in range(48)]
+        for unit in units:
+            worker_health.record_start(unit)
+        for index, unit in enumerate(units):
+            worker_health.record_failure(workers[index // 2], unit, 1.0)
+        assert self.list_resting(worker_health, workers) == []
+        assert all(worker_health.get_penalty(one, 1.0) == 0 for one in workers)
+        worker_health.forget_job("j", 1.0)
+        assert not worker_health.record_failure("w0", "other.0.0.0", 2.0)
+
+    def test_lasting_tasks_that_fail_again_and_again_leave_workers_open(self):
+        # Their failures aren't kept, so that each counted as a first one.
+        workers = ["w0", "w1", "w2", "w3"]
+        worker_health = health.WorkerHealth(list_pool=lambda _: workers)
+        for now in (1.0, 3.0, 5.0):
+            for index in range(8):
+                unit = f"j.0.0.{index}"
+                worker_health.record_start(unit)
+                worker_health.record_failure(workers[index % 4], unit, now)
+            assert self.list_resting(worker_health, workers, now) == []
+
+    def test_task_that_fails_on_several_workers_accuses_none(self):
+        workers = [f"w{number}" for number in range(9)]
+        worker_health = health.WorkerHealth(list_pool=lambda _: workers)
+        worker_health.record_failure("w0", "a.0.0.0", 0.0)
+        for number in range(3):
+            worker_health.record_failure(
+                f"w{number}", "j.0.0.0", 1.0, is_first_failure=not number
+            )
+        assert self.list_resting(worker_health, workers) == []
+        assert worker_health.get_penalty("w1", 1.0) == 0
+
+    def test_failing_workers_rest_although_the_job_is_large(self):
+        # Tasks that still run elsewhere show that the job isn't at fault.
+        workers = [f"w{number}" for number in range(24)]
+        worker_health = health.WorkerHealth(list_pool=lambda _: workers)
+        units = [f"j.0.0.{index}" for index in range(48)]
+        for unit in units:
+            worker_health.record_start(unit)
+        for index in range(8):
+            worker_health.record_failure(workers[index // 2], units[index], 1.0)
+        assert self.list_resting(worker_health, workers) == workers[:4]
+        worker_health.forget_job("j", 1.0)
+        assert self.list_resting(worker_health, workers) == workers[:4]
+
+    def test_quarantine_that_other_jobs_account_for_stays(self):
+        workers = [f"w{number}" for number in range(24)]
+        worker_health = health.WorkerHealth(list_pool=lambda _: workers)
+        worker_health.record_failure("w0", "a.0.0.0", 0.0)
+        worker_health.record_failure("w0", "b.0.0.0", 0.0)
+        for index, worker in enumerate(workers * 2):
+            worker_health.record_failure(worker, f"j.0.0.{index}", 1.0)
+        assert self.list_resting(worker_health, workers) == ["w0"]
+
+    def test_quarantines_are_limited_to_a_part_of_a_pool(self):
+        # A fault of most of a pool at once says nothing about one worker. The
+        # workers that failed tasks of the most jobs rest.
+        workers = [f"w{number}" for number in range(6)]
+        worker_health = health.WorkerHealth(list_pool=lambda _: workers)
+        for number, worker in enumerate(workers[:4]):
+            for index in range(2):
+                worker_health.record_failure(
+                    worker, f"j{number}.0.0.{index}", 1.0
+                )
+        assert self.list_resting(worker_health, workers) == ["w0", "w1"]
+        for job in ("a", "b"):
+            worker_health.record_failure("w5", f"{job}.0.0.0", 1.0)
+        resting = self.list_resting(worker_health, workers)
+        assert len(resting) == 2
+        assert "w5" in resting
+
+    def test_standstills_are_limited_to_a_part_of_a_pool(self):
+        workers = ["w0", "w1"]
+        worker_health = health.WorkerHealth(list_pool=lambda _: workers)
+        assert worker_health.record_standstill("w0", "a.0.0.0", 1.0)
+        assert not worker_health.record_standstill("w1", "b.0.0.0", 1.0)
+        assert worker_health.record_unresponsive("w1", 1.0)
+
+    def test_lifted_quarantine_leaves_the_one_before(self):
+        # Otherwise a hopeless job would end the probation of a bad worker.
+        workers = [f"w{number}" for number in range(24)]
+        worker_health = health.WorkerHealth(list_pool=lambda _: workers)
+        for job in ("a", "b"):
+            worker_health.record_failure("w0", f"{job}.0.0.0", 0.0)
+        now = health.INITIAL_QUARANTINE_S + 1.0
+        for index, worker in enumerate(workers):
+            worker_health.record_failure(worker, f"j.0.0.{index}", now)
+        assert self.list_resting(worker_health, workers, now) == []
+        assert worker_health.record_failure("w0", "c.0.0.0", now)
+
+
 class TestSuspectWorkers:
     def _build_failed(self, step):
         job = build_job("j", step)
