Checked right before each send whether a start may still be sent.

control/start_checks.py now holds what closes a worker, for the rounds and for each send: a drain, an evacuation, an entry that is gone, another process, room that was taken, and for starts that were never sent also a worker in quarantine or without answers. A start that was never sent ends at once and its unit runs elsewhere; one that may have been carried out is stopped, as before. Neither counts as a failure. Repeated tries have places of their own, and a worker that owes an answer gets no other first try, so that silent workers don't hold up starts on others.

--- a/chervilcove/control/commands.py
+++ b/chervilcove/control/commands.py
@@ -4,13 +4,14 @@
 import time
 
 import gevent
-from gevent import lock
 
 from chervilcove.control import fleet as fleets
 from chervilcove.control import interfaces
 from chervilcove.control import open_starts as open_start_values
 from chervilcove.control import runs
 from chervilcove.control import sessions
+from chervilcove.control import start_checks
+from chervilcove.control import start_places
 from chervilcove.control import start_window as start_windows
 from chervilcove.core import errors
 from chervilcove.core import logs
@@ -18,9 +19,6 @@
 
 START_TIMEOUT_S = 0.5  # workers answer in milliseconds
 START_TRIES = 4
-# From the first start of a gang on. Members wait 3 s for the others, in which
-# they must also be stopped if one of these can't start.
-GANG_START_S = 2.0
 START_RETRY_S = 0.1  # pause after a failed connection
 # A new owner may start hundreds of runs at once; without this limit the first
 # connections time out while the others are opened.
@@ -28,6 +26,7 @@
 # Workers reject start commands that arrive after this time. It serves as the
 # first lease of the run, so it must exceed the longest idle renewal.
 START_VALID_MS = 3_500
+ABANDONED_START = "a start was abandoned"  # reason of a stop
 STOP_TIMEOUT_S = 0.6
 STOP_RETRY_S = 0.2
 PACE_TIMEOUT_S = 0.6  # workers answer in milliseconds
@@ -43,6 +42,9 @@
         wake: Requests a scheduling round.
         may_start: Tells whether the owner was heard by the ledger so recently
             that nobody can have taken its runs for lost.
+        get_evacuated: Returns the data centres that get no tasks.
+        on_unsent: Called with a run and a task of it whose start was never
+            sent, and never will be.
         metrics: Metrics of this entry.
         link_mbps: Rate of the link of this entry in Mbit/s, 0 for unknown.
     """
@@ -55,6 +57,8 @@
         on_deposed: Callable[[str], None],
         wake: Callable[[], None],
         may_start: Callable[[], bool],
+        get_evacuated: Callable[[], frozenset[str]],
+        on_unsent: Callable[[runs.Run, runs.Member], None],
         metrics: metric_values.Metrics,
         link_mbps: float = 0.0,
     ):
@@ -63,13 +67,23 @@
         self._on_deposed = on_deposed
         self._wake = wake
         self._may_start = may_start
+        self._on_unsent = on_unsent
+        self._start_checks = start_checks.StartChecks(
+            worker_sessions=fleet.sessions,
+            get_report=lambda worker: fleet.reports.get(worker),
+            resources=fleet.resources,
+            health=fleet.health,
+            get_evacuated=get_evacuated,
+        )
         self._metrics = metrics
         self._log = logs.Log(source="orders")
         self._stopping_runs: set[runs.Run] = set()
         # Stops of runs that aren't tracked, by worker, task and run.
         self._stray_stops: set[tuple[str, str, int]] = set()
         self._greenlets: set[gevent.Greenlet] = set()
-        self._start_slots = lock.BoundedSemaphore(MAX_CONCURRENT_STARTS)
+        self._start_places = start_places.StartPlaces(
+            size=MAX_CONCURRENT_STARTS
+        )
         self._start_window = start_windows.StartWindow(link_mbps=link_mbps)
         # Tasks whose first start is under way, or waits for its turn.
         self._starting: set[runs.Member] = set()
@@ -114,6 +128,7 @@
         try:
             self._send_start(payload, run, member)
         finally:
+            self._start_places.end_start(member.place.worker, member.task)
             self._leave_window(member)
 
     def _leave_window(self, member: runs.Member) -> None:
@@ -132,44 +147,44 @@
         answered is followed by a stop, after which the process rejects that
         run.
         """
-        refusal = None
+        worker = member.place.worker
+        refusal: errors.Refusal | None = None
+        obstacle = ""
+        # Whether the worker may have got a start.
+        was_sent = False
         for count in range(START_TRIES):
-            if count and run.is_gang and _get_time_left_s(run) <= 0:
-                break
-            with self._start_slots:
-                session = self._fleet.sessions.get(member.place.worker)
-                if session is None or run.stop_reason:
-                    break
+            with self._start_places.take(
+                worker,
+                is_repeated=count > 0,
+                on_silence=lambda: self._leave_window(member),
+            ):
                 if member.phase is not runs.Phase.ORDERED:
                     return
-                if session.life != member.place.life:
-                    refusal = errors.refuse(
-                        errors.Kind.GONE, "worker has restarted"
-                    )
+                obstacle = self._start_checks.find_obstacle(
+                    run, member, may_be_there=was_sent
+                )
+                if obstacle or _is_gang_late(run):
                     break
+                session = self._fleet.sessions[worker]
                 call = session.begin_call()
                 if not self._may_start():
                     # The process was paused, or the ledger is away.
-                    refusal = errors.refuse(
-                        errors.Kind.LOG_UNAVAILABLE,
-                        "the ledger has not heard the owner for too long",
-                    )
+                    obstacle = "the ledger has not heard the owner for too long"
                     break
                 started = self._fleet.answer_times.begin_call()
                 outcome = self._call_start(session, call, payload, run, member)
                 session.lease_sent_at = time.monotonic()
                 delay_s = self._fleet.answer_times.measure(started)
                 self._metrics.record_time("starts.answer", delay_s)
-                self._fleet.answer_times.record(member.place.worker, delay_s)
+                self._fleet.answer_times.record(worker, delay_s)
                 if not count:
                     self._start_window.record(
-                        member.place.worker,
-                        delay_s,
-                        under_way=len(self._starting),
+                        worker, delay_s, under_way=len(self._starting)
                     )
                     # Silent workers must not keep others from their starts.
                     self._leave_window(member)
             if not errors.is_refusal(outcome):
+                self._start_places.record_answer(worker)
                 if call.fence != session.fence:
                     # It may be of the process that was noticed meanwhile.
                     member.has_open_start = True
@@ -183,47 +198,72 @@
                 return
             refusal = outcome
             self._metrics.count(f"starts.refused.{outcome.kind.value}")
-            if outcome.kind is errors.Kind.FENCED:
-                if session.is_deposing(call):
-                    self._on_deposed(f"worker {member.place.worker} is fenced")
-                    return
-                continue  # ends, as the worker has restarted
-            if outcome.kind is errors.Kind.DEADLINE_EXCEEDED:
-                session.record_answer(call, outcome.detail["clock_ms"])
-                continue
             if outcome.kind is errors.Kind.CONNECT_FAILED:
                 gevent.sleep(START_RETRY_S)
-            elif outcome.kind is errors.Kind.OUTCOME_UNKNOWN:
+                continue
+            was_sent = True
+            if outcome.kind is errors.Kind.OUTCOME_UNKNOWN:
                 member.has_open_start = True
+                self._start_places.record_silence(worker, member.task)
                 self._log.info(
                     "start_unanswered",
                     task=member.task,
                     run=run.number,
-                    worker=member.place.worker,
+                    worker=worker,
                     life=member.place.life,
                     tries=count + 1,
                 )
                 self._open_starts.record_unanswered(run.key.format())
-            else:
-                break
+                continue
+            self._start_places.record_answer(worker)
+            if outcome.kind is errors.Kind.FENCED:
+                if session.is_deposing(call):
+                    self._on_deposed(f"worker {worker} is fenced")
+                    return
+                continue  # ends, as the worker has restarted
+            if outcome.kind is errors.Kind.DEADLINE_EXCEEDED:
+                session.record_answer(call, outcome.detail["clock_ms"])
+                continue
+            break
         if member.phase is not runs.Phase.ORDERED:
             return
+        self._give_up_start(run, member, obstacle, refusal, was_sent=was_sent)
+
+    def _give_up_start(
+        self,
+        run: runs.Run,
+        member: runs.Member,
+        obstacle: str,
+        refusal: errors.Refusal | None,
+        *,
+        was_sent: bool,
+    ) -> None:
+        """Stop a run of which a task could not be started.
+
+        Args:
+            run: The run.
+            member: The task.
+            obstacle: Why the start was not sent again, empty if it was.
+            refusal: Outcome of the last try, None if there was none.
+            was_sent: Whether the worker may have got a start.
+        """
+        worker = member.place.worker
         self._log.warn(
             "start_given_up",
             task=member.task,
             run=run.number,
-            worker=member.place.worker,
-            kind=refusal.kind.value if refusal else "stopped",
-            reason=refusal.reason if refusal else run.stop_reason,
+            worker=worker,
+            kind=refusal.kind.value if refusal else "",
+            reason=obstacle or (refusal.reason if refusal else ""),
+            was_sent=was_sent,
         )
-        if refusal is not None and refusal.kind not in (
-            errors.Kind.GONE,
-            errors.Kind.LOG_UNAVAILABLE,
-        ):
-            # Expired tickets and permissions are no fault of the worker, nor
-            # are starts for its earlier process.
-            self._fleet.record_unresponsive(member.place.worker)
-        self.stop(run, "a start was abandoned")
+        if refusal is not None and obstacle in ("", ABANDONED_START):
+            # Other obstacles are no fault of the worker.
+            self._fleet.record_unresponsive(worker)
+        if not was_sent and not member.has_open_start:
+            self._on_unsent(run, member)
+            return
+        self.stop(run, obstacle or ABANDONED_START)
         # Until the worker answers, which may be never. The start itself holds
         # no place in the window meanwhile.
         self._spawn(self._stop_member, run, member)
@@ -253,7 +293,10 @@
         timeout_s = self._fleet.answer_times.extend(START_TIMEOUT_S)
         if not run.is_gang:
             return timeout_s
-        return min(timeout_s, max(START_TIMEOUT_S, _get_time_left_s(run)))
+        return min(
+            timeout_s,
+            max(START_TIMEOUT_S, start_checks.get_gang_time_left_s(run)),
+        )
 
     def stop(
         self, run: runs.Run, reason: str, *, restarts: bool = False
@@ -376,6 +419,6 @@
         greenlet.link(self._greenlets.discard)
 
 
-def _get_time_left_s(run: runs.Run) -> float:
-    """Return for how long the starts of a gang may still be sent."""
-    return run.started + GANG_START_S - time.monotonic()
+def _is_gang_late(run: runs.Run) -> bool:
+    """Return whether the members of a gang wait no longer for the others."""
+    return run.is_gang and start_checks.get_gang_time_left_s(run) <= 0
--- a/chervilcove/control/fleet.py
+++ b/chervilcove/control/fleet.py
@@ -17,6 +17,7 @@
 from chervilcove.control import interfaces
 from chervilcove.control import runs
 from chervilcove.control import sessions
+from chervilcove.control import start_checks
 from chervilcove.core import logs
 from chervilcove.dispatch import capacity
 from chervilcove.dispatch import departures
@@ -167,13 +168,12 @@
         for worker, room in self.resources.by_worker.items():
             session = self.sessions[worker]
             report = self.reports.get(worker)
-            room.is_schedulable = (
-                report is not None
-                and not report.is_draining
-                and session.are_runs_known
-                and session.life == room.worker.life
-                and room.worker.data_centre not in evacuated
-                and not self.health.is_quarantined(worker, now)
+            room.is_schedulable = start_checks.is_schedulable(
+                report=report,
+                session=session,
+                life=room.worker.life,
+                evacuated=evacuated,
+                is_quarantined=self.health.is_quarantined(worker, now),
             )
             room.penalty = self.health.get_penalty(worker, now)
             room.last_success_start = self.health.get_last_success_start(worker)
--- a/chervilcove/control/owners.py
+++ b/chervilcove/control/owners.py
@@ -153,6 +153,8 @@
             on_deposed=on_deposed,
             wake=self.wake,
             may_start=self._may_renew,
+            get_evacuated=lambda: self._get_operator_state().evacuated,
+            on_unsent=self._end_unsent,
             metrics=metrics,
             link_mbps=values.limits.link_mbps,
         )
@@ -851,11 +853,19 @@
             # a newer run.
             return
         if run.stop_reason or job.is_cancelled:
-            # No start command was sent, so the run never begins.
             for member in run.members:
-                if member.phase is runs.Phase.ORDERED:
-                    self._end_member(run, member, "unsent", evidence="not_sent")
-            self._finish_run(run)
-            self._wake.set()
+                self._end_unsent(run, member)
             return
         self._commands.send_starts(job.spec.payload, run)
+
+    def _end_unsent(self, run: runs.Run, member: runs.Member) -> None:
+        """End a task whose start was never sent, so that it never begins."""
+        if (
+            self._runs.get(run.key) is not run
+            or member.phase is not runs.Phase.ORDERED
+        ):
+            return
+        self._end_member(run, member, "unsent", evidence="not_sent")
+        if run.has_ended:
+            self._finish_run(run)
+        self._wake.set()
