Counted jobs whose ordered runs never began as waiting.

A job counted as begun once a run was ordered, for good. The record of a unit now says how many of its first runs no worker has begun. Records without the field read as before.

--- a/chervilcove/control/commands.py
+++ b/chervilcove/control/commands.py
@@ -117,6 +117,7 @@
 
     def send_starts(self, payload: str, run: runs.Run) -> None:
         """Start all tasks of a run whose record is already stored."""
+        run.is_stored = True
         run.started = time.monotonic()
         self._starting.update(run.members)
         for member in run.members:
@@ -189,6 +190,7 @@
                     # It may be of the process that was noticed meanwhile.
                     member.has_open_start = True
                 session.record_answer(call, outcome)
+                member.has_begun = True
                 if member.phase is runs.Phase.ORDERED:
                     member.phase = runs.Phase.KNOWN
                     member.changed_at = time.monotonic()
--- a/chervilcove/control/owners.py
+++ b/chervilcove/control/owners.py
@@ -33,6 +33,7 @@
 from chervilcove.control import runs
 from chervilcove.control import sessions
 from chervilcove.control import speed_monitor
+from chervilcove.control import unbegun_runs
 from chervilcove.control import untracked_runs
 from chervilcove.core import errors
 from chervilcove.core import metrics as metric_values
@@ -201,6 +202,9 @@
             stop_s=values.bounds.stop_ms / 1000,
             metrics=metrics,
         )
+        self._unbegun = unbegun_runs.UnbegunRuns(
+            get_unit=self._get_unit, write_unit=self._write_unit
+        )
         self._neighbours = neighbours.NeighbourMonitor(
             active_runs=self._runs,
             runs_by_worker=self._runs_by_worker,
@@ -387,6 +391,10 @@
                 self._isolation.attempt(
                     run.key.format(), self._run_monitor.move_run, run
                 )
+                if not run.is_begin_recorded:
+                    self._isolation.attempt(
+                        run.key.format(), self._unbegun.check, run
+                    )
         self._commands.send_stops()
         self._kept_rooms.release_late()
         self._isolation.attempt("starts", self._schedule)
@@ -503,6 +511,7 @@
                 row.percent, self._planner.estimate_duration_s(run)
             )
         member.is_listed = True
+        member.has_begun = True
         member.progress.add(time.monotonic(), row.percent)
         member.percent = row.percent
         member.load = row.load
@@ -519,6 +528,7 @@
         member = run.find_member(end.task, session.report.id)
         if member is None or member.phase is runs.Phase.ENDED:
             return
+        member.has_begun = True
         if end.checkpoint:
             run.checkpoint = end.checkpoint
         self._end_member(run, member, end.how)
@@ -539,10 +549,13 @@
             index = key.index
             key = key._replace(index=None)
         unit = job.get_unit(key)
-        # The process of the worker outlived the run.
-        crashes = crash_limits.drop_run(unit.crashes, end.run, index)
-        if crashes != unit.crashes:
-            unit = unit._replace(crashes=crashes)
+        # The process of the worker outlived the run, which had begun.
+        shown = unit._replace(
+            crashes=crash_limits.drop_run(unit.crashes, end.run, index),
+            unbegun_runs=min(unit.unbegun_runs, end.run - 1),
+        )
+        if shown != unit:
+            unit = shown
             self._write_unit(key, unit)
         if end.how not in ("done", "failed"):
             return
@@ -694,6 +707,7 @@
                 crashes=runs.list_crashes(
                     run, unit.crashes, is_lasting=step.is_lasting
                 ),
+                unbegun_runs=unbegun_runs.count_unbegun_runs(run, unit),
             ),
         )
         if step.is_lasting:
--- a/chervilcove/control/runs.py
+++ b/chervilcove/control/runs.py
@@ -40,6 +40,8 @@
         has_open_start: Whether a start of it may still be carried out: one got
             no answer, or an earlier owner sent it.
         is_listed: Whether the worker has listed the task as running.
+        has_begun: Whether the worker has shown that it started the task: by
+            its answer to the start, or by listing the task or its end.
         has_crashed_worker: Whether the worker's process ended under the task.
         percent: Progress in percent.
         progress: Progress over the last seconds.
@@ -66,6 +68,7 @@
         self.is_stop_sent = False
         self.has_open_start = False
         self.is_listed = False
+        self.has_begun = False
         self.has_crashed_worker = False
         self.percent = 0.0
         self.progress = relocation.TaskProgress()
@@ -113,6 +116,10 @@
         restarts: Whether it is being stopped so that its unit starts again.
         is_recorded_done: Whether the unit was recorded as done.
         started: Monotonic seconds of the start.
+        is_stored: Whether the record of the run was stored, so that its starts
+            may be sent.
+        is_begin_recorded: Whether the record of the unit shows that the run
+            has begun.
         is_adopted: Whether an earlier owner started it, so that its start is
             only estimated.
         tickets: Tickets that the queue's policy granted, by worker.
@@ -139,6 +146,8 @@
         self.restarts = False
         self.is_recorded_done = False
         self.started = time.monotonic()
+        self.is_stored = False
+        self.is_begin_recorded = False
         self.is_adopted = False
         self.tickets: dict[str, str] = {}
         self.departure: departures.Action | None = None
@@ -149,6 +158,11 @@
         """Tell whether its tasks work only together."""
         return len(self.members) > 1
 
+    @property
+    def has_begun(self) -> bool:
+        """Tell whether a worker has shown that it started one of the tasks."""
+        return any(one.has_begun for one in self.members)
+
     @property
     def has_ended(self) -> bool:
         """Tell whether no task runs or can still start."""
--- a/chervilcove/jobs/records.py
+++ b/chervilcove/jobs/records.py
@@ -198,6 +198,8 @@
         places: Workers on which its newest run was started, one per task, in
             the order of the tasks of a gang.
         crashes: Crashes of workers under its tasks.
+        unbegun_runs: How many of its first runs no worker has begun. The unit
+            has begun if its newest run is a later one.
     """
 
     epoch: int
@@ -207,6 +209,7 @@
     checkpoint: str
     places: tuple[Place, ...]
     crashes: tuple[crash_limits.Crash, ...] = ()
+    unbegun_runs: int = 0
 
     @property
     def failures(self) -> int:
@@ -322,6 +325,10 @@
 }
 
 
+# Number of last fields that versions before didn't have.
+OPTIONAL_FIELDS = {UnitRecord: 2, Claim: 1}
+
+
 class Record(NamedTuple):
     """A decoded record.
 
@@ -345,11 +352,13 @@
 def encode_value(value: Any) -> bytes:
     """Return `value` as msgpack; a named tuple becomes an array.
 
-    The last field of a unit or a claim is left out if it is empty, so that
-    entries of versions without that field can read the record.
+    The last fields of a unit or a claim are left out if they are empty, so
+    that entries of versions without these fields can read the record.
     """
-    if isinstance(value, (UnitRecord, Claim)) and not value[-1]:
-        return _encoder.encode(value[:-1])
+    for _ in range(OPTIONAL_FIELDS.get(type(value), 0)):
+        if value[-1]:
+            break
+        value = value[:-1]
     return _encoder.encode(value)
 
 
--- a/chervilcove/jobs/table.py
+++ b/chervilcove/jobs/table.py
@@ -99,7 +99,6 @@
         end: Its end, None until it is recorded.
         units: Newest record of each unit that has one; empty after the end.
         active: Units whose status is ACTIVE.
-        has_started: Whether any unit has had a run.
         max_unit_failures: Most failures of one unit; the owner compares them
             with the limit of the queue.
         is_failed: Whether the owner found a limit reached.
@@ -112,10 +111,10 @@
         self.end: records.EndRecord | None = None
         self.units: dict[UnitKey, records.UnitRecord] = {}
         self.active: set[UnitKey] = set()
-        self.has_started = False
         self.max_unit_failures = 0
         self.is_failed = False
         self.has_crashing_task = False
+        self._begun = 0  # number of units that have begun
         # Number of done units, by (occurrence, step).
         self._done: dict[tuple[int, int], int] = {}
         # Number of active units, by (occurrence, step).
@@ -140,6 +139,11 @@
         """Return the description of the job."""
         return self.submission.spec
 
+    @property
+    def has_started(self) -> bool:
+        """Return whether any unit has begun, as far as the records tell."""
+        return self._begun > 0
+
     def get_state(self) -> JobState:
         """Return the state of the job."""
         if self.end is not None:
@@ -259,7 +263,7 @@
             self.active.add(key)
         else:
             self.active.discard(key)
-        self.has_started = self.has_started or unit.run > 0
+        self._begun += _has_begun(unit) - _has_begun(before)
         self.max_unit_failures = max(self.max_unit_failures, unit.failures)
         if unit.crashes and unit.status != UnitStatus.DONE:
             self.has_crashing_task = (
@@ -268,6 +272,10 @@
             )
 
 
+def _has_begun(unit: records.UnitRecord) -> bool:
+    return unit.status == UnitStatus.DONE or unit.run > unit.unbegun_runs
+
+
 class JobTable:
     """All jobs, the claim of the owner and the incarnations of entries.
 
--- a/tests/jobs/test_table.py
+++ b/tests/jobs/test_table.py
@@ -1,3 +1,6 @@
+import msgspec
+
+from chervilcove.jobs import crash_limits
 from chervilcove.jobs import early_cancels
 from chervilcove.jobs import records
 from chervilcove.jobs import specs
@@ -167,6 +170,46 @@
         assert specs.check_spec(build_submission().value.spec) is None
 
 
+class TestUnbegunRuns:
+    def build_record(self, status, **fields):
+        record = build_unit_record(0, status, run=2)
+        return record._replace(value=record.value._replace(**fields))
+
+    def test_job_whose_runs_were_refused_is_queued(self):
+        # An ordered run counted as begun for good, so that jobs that no worker
+        # had started were missing in the number of waiting jobs.
+        jobs = table.JobTable()
+        jobs.apply(build_submission())
+        jobs.apply(self.build_record(table.UnitStatus.ACTIVE))
+        assert jobs.count_queued_jobs("q", 2_000) == 0
+        jobs.apply(self.build_record(table.UnitStatus.WAITING, unbegun_runs=2))
+        assert jobs.jobs[JOB].get_state() is table.JobState.QUEUED
+        assert jobs.copy().count_queued_jobs("q", 2_000) == 1
+
+    def test_job_with_a_later_or_another_begun_unit_is_running(self):
+        jobs = table.JobTable()
+        jobs.apply(build_submission())
+        jobs.apply(self.build_record(table.UnitStatus.WAITING, unbegun_runs=2))
+        jobs.apply(build_unit_record(1, table.UnitStatus.ACTIVE))
+        assert jobs.jobs[JOB].get_state() is table.JobState.RUNNING
+        jobs.apply(build_unit_record(1, table.UnitStatus.WAITING, run=0))
+        jobs.apply(self.build_record(table.UnitStatus.ACTIVE, unbegun_runs=1))
+        assert jobs.jobs[JOB].get_state() is table.JobState.RUNNING
+
+    def test_records_without_the_field_are_read_and_written(self):
+        # Entries of earlier versions write and read these.
+        for crashes in ((), (crash_limits.Crash(1, 0, "w", True),)):
+            unit = build_unit_record(0, table.UnitStatus.WAITING).value
+            unit = unit._replace(crashes=crashes)
+            value = records.encode_value(unit)
+            fields = msgspec.msgpack.decode(value)
+            assert len(fields) == (7 if crashes else 6)
+            assert records.decode("u/x.0.0.0", value).value == unit
+        unit = unit._replace(unbegun_runs=1)
+        value = records.encode_value(unit)
+        assert records.decode("u/x.0.0.0", value).value == unit
+
+
 class TestEarlyCancels:
     CANCEL = records.EarlyCancel(1_000, "q", "c")
 
