Recorded the standstill of a task once a second.

The monitor looks at each run ten times a second, and each record of a standstill counts the resting workers of the pool since.

--- a/chervilcove/control/run_monitor.py
+++ b/chervilcove/control/run_monitor.py
@@ -16,6 +16,8 @@
 from chervilcove.jobs import specs
 from chervilcove.jobs import table
 
+STANDSTILL_INTERVAL_S = 1.0  # between records of the standstill of one task
+
 
 class RunMonitor:
     """Monitor the active runs of one owner.
@@ -82,7 +84,12 @@
         stalled_s = member.progress.get_stalled_s()
         if stalled_s < relocation.STALL_DETECTION_S:
             return
-        if self._fleet.health.record_standstill(worker, run.key.format(), now):
+        is_new = now - member.standstill_recorded_at >= STANDSTILL_INTERVAL_S
+        if is_new:
+            member.standstill_recorded_at = now
+        if is_new and self._fleet.health.record_standstill(
+            worker, run.key.format(), now
+        ):
             self._log.warn(
                 "worker_rests",
                 worker=worker,
--- a/chervilcove/control/runs.py
+++ b/chervilcove/control/runs.py
@@ -45,6 +45,8 @@
         has_crashed_worker: Whether the worker's process ended under the task.
         percent: Progress in percent.
         progress: Progress over the last seconds.
+        standstill_recorded_at: Monotonic seconds at which a standstill of it
+            was last recorded.
         load: Load that the worker reports; see `interfaces.RunningTask`.
         pace: Percentage of full speed last sent to the worker, None while it
             is unknown.
@@ -72,6 +74,7 @@
         self.has_crashed_worker = False
         self.percent = 0.0
         self.progress = relocation.TaskProgress()
+        self.standstill_recorded_at = float("-inf")
         self.load = 0.0
         self.pace: int | None = pacing.FULL_PACE
         self.checkpoint = ""
