--- a/tests/control/test_start_checks.py
+++ b/tests/control/test_start_checks.py
@@ -30,10 +30,12 @@
 
 
 def unlist(system):
-    reports = system.fleet.reports
-    report = reports.pop("w0")
+    del system.fleet.reports["w0"]
     system.fleet.change("w1")
-    return report
+
+
+def shrink(system):
+    system.fleet.change("w0", capacity=specs.Resources(0, 1_000, 8))
 
 
 @pytest.fixture
@@ -71,7 +73,7 @@
 
 
 class TestStartChecks:
-    @pytest.mark.parametrize("close", [drain, evacuate, unlist])
+    @pytest.mark.parametrize("close", [drain, evacuate, unlist, shrink])
     @pytest.mark.parametrize(
         "step",
         [{"count": 1}, {"count": MANY}, {"count": 8, "is_gang": True}],
