Let no worker rest for a start with an expired ticket.

Found by reading the change. The field `kind` of the log event start_given_up is `stopped` again where no start was refused.

test_worker_rests_only_for_refusals_that_are_its_fault failed before for GONE.

--- a/chervilcove/control/commands.py
+++ b/chervilcove/control/commands.py
@@ -255,12 +255,16 @@
             task=member.task,
             run=run.number,
             worker=worker,
-            kind=refusal.kind.value if refusal else "",
+            kind=refusal.kind.value if refusal else "stopped",
             reason=obstacle or (refusal.reason if refusal else ""),
             was_sent=was_sent,
         )
-        if refusal is not None and obstacle in ("", ABANDONED_START):
-            # Other obstacles are no fault of the worker.
+        if (
+            refusal is not None
+            and refusal.kind is not errors.Kind.GONE
+            and obstacle in ("", ABANDONED_START)
+        ):
+            # An expired ticket and other obstacles are no fault of the worker.
             self._fleet.record_unresponsive(worker)
         if not was_sent and not member.has_open_start:
             self._on_unsent(run, member)
--- a/tests/control/test_start_checks.py
+++ b/tests/control/test_start_checks.py
@@ -7,6 +7,7 @@
 
 from chervilcove.control import commands
 from chervilcove.control import start_places
+from chervilcove.core import errors
 from chervilcove.jobs import specs
 from tests.control import silent_workers
 from tests.control import system as systems
@@ -164,3 +165,24 @@
             places.take("w1", is_repeated=False, on_silence=list),
         ):
             pass
+
+
+class TestRefusedStarts:
+    @pytest.mark.parametrize(
+        ("kind", "rests"),
+        [
+            (errors.Kind.GONE, False),
+            (errors.Kind.BUSY, True),
+        ],
+    )
+    def test_worker_rests_only_for_refusals_that_are_its_fault(
+        self, system, entry, kind, rests
+    ):
+        # A start that was refused for its expired ticket let the worker rest.
+        system.fleet.silent.clear()
+        system.fleet.workers["w0"].start = lambda *arguments, timeout_s: (
+            errors.refuse(kind, "refused by the test")
+        )
+        order(system, entry, count=1)
+        health = entry._owner.fleet.health
+        assert health.is_quarantined("w0", time.monotonic()) == rests
