--- a/chervilcove/control/api.py
+++ b/chervilcove/control/api.py
@@ -320,17 +320,13 @@
             return self._store_early_cancel(job, sender, time_left_s) or known
         if known.end is not None or known.is_cancelled:
             return None
-        refusal = self._writer.write(
+        return self._write_cancel(
             records.build_key(records.Kind.CANCEL, job),
-            records.encode_value(self._follower.clock.get_now_ms()),
-            timeout_s=_get_write_timeout_s(time_left_s),
+            self._follower.clock.get_now_ms(),
+            job=job,
+            outcome="accepted",
+            time_left_s=time_left_s,
         )
-        outcome = "accepted" if refusal is None else refusal.kind.value
-        self._metrics.count(f"jobs.cancel.{outcome}")
-        self._log.info("job_cancelled", job=job, outcome=outcome)
-        if refusal is None:
-            return None
-        return self._add_retry_after(refusal, time_left_s)
 
     def _store_early_cancel(
         self, job: str, sender: records.Sender, time_left_s: float | None
@@ -355,12 +351,42 @@
                 retry_after_s=math.ceil(wait_ms / 1000),
             )
             return self.log_refusal(refusal, job=job, queue=sender.queue)
-        refusal = self._writer.write(
+        return self._write_cancel(
             records.build_key(records.Kind.EARLY_CANCEL, name),
-            records.encode_value(records.EarlyCancel(now_ms, *sender)),
+            records.EarlyCancel(now_ms, *sender),
+            job=job,
+            outcome="early",
+            time_left_s=time_left_s,
+        )
+
+    def _write_cancel(
+        self,
+        key: str,
+        value: int | records.EarlyCancel,
+        *,
+        job: str,
+        outcome: str,
+        time_left_s: float | None,
+    ) -> errors.Refusal | None:
+        """Store the record of a cancel, and log and count what came of it.
+
+        Args:
+            key: Key of the record.
+            value: Value of the record.
+            job: Id of the job.
+            outcome: What is logged and counted if it is stored.
+            time_left_s: Seconds until the caller's deadline, None without one.
+
+        Returns:
+            None once it is stored, else a refusal.
+        """
+        refusal = self._writer.write(
+            key,
+            records.encode_value(value),
             timeout_s=_get_write_timeout_s(time_left_s),
         )
-        outcome = "early" if refusal is None else refusal.kind.value
+        if refusal is not None:
+            outcome = refusal.kind.value
         self._metrics.count(f"jobs.cancel.{outcome}")
         self._log.info("job_cancelled", job=job, outcome=outcome)
         if refusal is None:
--- a/chervilcove/control/job_ends.py
+++ b/chervilcove/control/job_ends.py
@@ -14,6 +14,7 @@
 from chervilcove.core import metrics as metric_values
 from chervilcove.dispatch import health as health_values
 from chervilcove.jobs import configuration
+from chervilcove.jobs import early_cancels
 from chervilcove.jobs import records
 from chervilcove.jobs import table
 
@@ -124,7 +125,7 @@
         self._drop_early_cancels(
             name
             for name in self._table.early_cancels.list_expired(now_ms)
-            if name.partition(".")[0] not in self._table.jobs
+            if early_cancels.get_job(name) not in self._table.jobs
         )
 
     def _drop_early_cancels(self, names: Iterable[str]) -> None:
--- a/chervilcove/control/owners.py
+++ b/chervilcove/control/owners.py
@@ -550,12 +550,12 @@
             key = key._replace(index=None)
         unit = job.get_unit(key)
         # The process of the worker outlived the run, which had begun.
-        shown = unit._replace(
+        updated = unit._replace(
             crashes=crash_limits.drop_run(unit.crashes, end.run, index),
             unbegun_runs=min(unit.unbegun_runs, end.run - 1),
         )
-        if shown != unit:
-            unit = shown
+        if updated != unit:
+            unit = updated
             self._write_unit(key, unit)
         if end.how not in ("done", "failed"):
             return
--- a/chervilcove/dispatch/job_faults.py
+++ b/chervilcove/dispatch/job_faults.py
@@ -1,8 +1,8 @@
 """Whether failures point to a job instead of to its workers.
 
 Load pattern: jobs that can never be done, with dozens of tasks that fail
-wherever they start, beside sound work. Two first failures on a worker are two
-signs against that worker only as long as other tasks of the job work elsewhere.
+wherever they start, beside sound work. Failures on a worker are evidence
+against it only while other tasks of the same job work elsewhere.
 """
 
 import collections
--- a/chervilcove/jobs/early_cancels.py
+++ b/chervilcove/jobs/early_cancels.py
@@ -27,6 +27,11 @@
     return f"{job}.{digest[:16]}"
 
 
+def get_job(name: str) -> str:
+    """Return the id of the job in the name of a record."""
+    return name.partition(".")[0]
+
+
 class EarlyCancels:
     """Cancels of ids that had no job, by the records of the ledger."""
 
@@ -50,7 +55,7 @@
 
     def __contains__(self, name: str) -> bool:
         """Return whether a cancel is recorded under `name`."""
-        return name in self._by_job.get(_get_job(name), ())
+        return name in self._by_job.get(get_job(name), ())
 
     def __iter__(self) -> Iterator[tuple[str, records.EarlyCancel]]:
         """Yield the name and the value of each record."""
@@ -60,13 +65,13 @@
     def add(self, name: str, cancel: records.EarlyCancel) -> None:
         """Add a cancel, or replace the one of the same name."""
         self.remove(name)
-        self._by_job.setdefault(_get_job(name), {})[name] = cancel
+        self._by_job.setdefault(get_job(name), {})[name] = cancel
         times = self._by_sender.setdefault(cancel.sender, {})
         times[name] = cancel.cancelled_ms
 
     def remove(self, name: str) -> None:
         """Remove a cancel, if there is one of this name."""
-        job = _get_job(name)
+        job = get_job(name)
         cancels = self._by_job.get(job, {})
         cancel = cancels.pop(name, None)
         if cancel is None:
@@ -99,7 +104,7 @@
 
     def is_fresh(self, name: str, now_ms: int) -> bool:
         """Return whether a cancel will be kept for long without a new one."""
-        cancel = self._by_job.get(_get_job(name), {}).get(name)
+        cancel = self._by_job.get(get_job(name), {}).get(name)
         return (
             cancel is not None
             and abs(now_ms - cancel.cancelled_ms) < RETENTION_MS / 2
@@ -116,7 +121,3 @@
             for name, cancel in self
             if abs(now_ms - cancel.cancelled_ms) > RETENTION_MS
         ]
-
-
-def _get_job(name: str) -> str:
-    return name.partition(".")[0]
--- a/chervilcove/jobs/table.py
+++ b/chervilcove/jobs/table.py
@@ -442,7 +442,7 @@
             return
         self.early_cancels.add(record.name, record.value)
         # The job may be stored although the entry that answered did not see it.
-        job = self.jobs.get(record.name.partition(".")[0])
+        job = self.jobs.get(early_cancels.get_job(record.name))
         if job is not None and self.early_cancels.applies_to(job.submission):
             job.is_cancelled = True
 
