--- a/chervilcove/dispatch/health.py
+++ b/chervilcove/dispatch/health.py
@@ -26,7 +26,7 @@
 INITIAL_QUARANTINE_S = 6.0  # partial faults of workers last 5 to 7 s
 MAX_QUARANTINE_S = 60.0
 SUSPECT_PERIOD_S = 8.0  # partial faults of workers last 5 to 7 s
-# Of a pool, one worker at least. More workers seldom fail at once by themselves.
+# Of a pool, one worker at least. More of them seldom fail at once on their own.
 MAX_QUARANTINED_SHARE = 1 / 3
 
 
